--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,258 @@
+"""Tables of cases against the decision module."""
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+from helpers import World, entry
+
+from vanerelay.decide import Ledger, Peaks, Ramp, Ration, Ring
+from vanerelay.interface import SECOND, ColdStart, Effect, EngineState, NoteKind, Outcome, RationTerms, Scope
+
+O = Outcome  # noqa: E741
+BUSY = 13_000.0  # over a slice of a third, so that one fills an engine
+
+
+@pytest.mark.parametrize(("span", "at", "now", "whole", "short"), [
+    (100, 0, 0, 1, 1), (100, 0, 79, 1, 1), (100, 0, 100, 1, 0), (100, 0, 95, 1, 0), (100, 0, 110, 0, 0),
+])
+def test_ring_never_forgets_early_nor_counts_late(span, at, now, whole, short):
+    ring = Ring(span, 1)
+    ring.add(at, 1)
+    assert (ring.total(now, 0), ring.total(now, 0, short=True)) == (whole, short)
+
+
+@pytest.mark.parametrize(("runs", "told", "cap", "low", "high"), [
+    ([], 1000.0, 9e9, 1000, 1250),  # no peak: the told estimate, up a bucket
+    ([(400.0, 1000.0)], 9000.0, 9e9, 500, 625),  # peak x margin
+    ([(800.0, 500.0)], 100.0, 9e9, 625, 790),  # need above the grant: the grant is lifted a bucket
+    ([(400.0, 1000.0), (100.0, 500.0)], 0.0, 9e9, 125, 157),  # the last outcome replaces the peak
+    ([], 5000.0, 3000.0, 3000, 3000),  # cap
+    ([], 0.0, 9e9, 0, 0),  # nothing known: the engine's own choice
+])
+def test_grant_size(runs, told, cap, low, high):
+    peaks = Peaks(1)
+    for peak, grant in runs:
+        peaks.learn(0, 0, 5, peak, grant)
+    assert low <= peaks.size(1, 0, 5, told, cap) <= high
+
+
+def test_peaks_expire_and_fall_to_a_load_and_to_the_mean():
+    peaks = Peaks(1)
+    peaks.learn(0, 0, 5, 400.0, 1000.0)
+    assert peaks.size(Peaks.KEPT + 1, 0, 5, 9000.0, 9e9) >= 9000.0
+    assert peaks.size(1, 0, 6, 0.0, 9e9) >= 400.0  # another table group: the group's mean
+    peaks.loaded(5)
+    assert peaks.size(1, 0, 5, 9000.0, 9e9) >= 9000.0
+
+
+def test_ledger_holds_whole_grants_against_the_slice():
+    ledger = Ledger(3000.0, 0.5)
+    ledger.begin(1000.0)
+    assert (ledger.room(1.0), ledger.room(0.8), ledger.running) == (500.0, 200.0, 1)
+    ledger.end(1000.0)
+    assert (ledger.room(1.0), ledger.running) == (1500.0, 0)
+
+
+@pytest.mark.parametrize(("taken", "spent", "allowed"), [
+    (0, 0, True), (0, 2, False), (10, 3, True), (10, 4, False), (100, 21, True), (100, 22, False),
+])
+def test_ration_at_its_boundary(taken, spent, allowed):
+    ration = Ration(RationTerms(10 * SECOND, 2, 0.2))
+    for _ in range(taken):
+        ration.took(SECOND)
+    for _ in range(spent):
+        ration.spend(SECOND)
+    assert ration.allows(SECOND) is allowed
+    assert ration.allows(30 * SECOND)
+
+
+@pytest.mark.parametrize(("age", "gateways", "share"), [
+    (0, 1, 0.3), (5, 1, 0.65), (10, 1, 1.0), (0, 4, 0.3),
+])
+def test_cold_budget_is_this_gateways_part(age, gateways, share):
+    ramp = Ramp(ColdStart(0.3, 10 * SECOND, 3.0, 2 * SECOND), gateways, 16)
+    ramp.began = 100 * SECOND
+    now = ramp.began + age * SECOND
+    assert ramp.share(now) == pytest.approx(share)
+    sent = 0
+    while ramp.allows(now, 1000) and sent < 10**6:
+        ramp.sent(now, 1000)
+        sent += 1000
+    assert sent <= 3.0 * share * 16 * 2 * SECOND / gateways
+    assert sent >= 0.3 * 3.0 * 0.3 * 16 * 2 * SECOND / gateways
+
+
+def test_line_is_first_come_and_holds_nothing():
+    world = World(engines=1, gateways=3)
+    first = world.take(memory=9000.0)
+    held = [world.take(memory=m) for m in (9000.0, 3000.0, 9000.0)]
+    assert len(world.did("dispatch")) == 1 and all(not b.sends for b in held)
+    world.end(first, O.RETURNED, memory=0.0)
+    assert [d[0] for d in world.did("dispatch")] == [1, 2]
+    world.end(held[0], O.RETURNED, memory=0.0)
+    assert [d[0] for d in world.did("dispatch")][:3] == [1, 2, 3]
+
+
+def test_past_its_bound_the_head_goes_with_a_cut_grant():
+    world = World(engines=1, gateways=3, goal=9 * SECOND, time_limit=40 * SECOND)
+    world.take(cost=20_000, memory=9000.0, limit=40 * SECOND)
+    world.take(cost=20_000, memory=9000.0, limit=40 * SECOND)
+    world.run(SECOND)
+    assert len(world.did("dispatch")) == 1
+    world.run(2 * SECOND)
+    assert len(world.did("dispatch")) == 2
+    assert world.did("grant")[1][1] < world.did("grant")[0][1]
+
+
+@pytest.mark.parametrize(("effect", "scope", "outcome", "again", "answer"), [
+    (Effect.REPEATABLE, Scope.ALL, O.ERRORED, True, "push_back"),
+    (Effect.REPEATABLE, Scope.ALL, O.TIMED_OUT, True, "push_back"),
+    (Effect.ONCE_ONLY, Scope.ALL, O.PUSHED_BACK, True, "push_back"),
+    (Effect.ONCE_ONLY, Scope.ALL, O.NO_CONNECTION, True, "push_back"),
+    (Effect.ONCE_ONLY, Scope.ALL, O.ERRORED, False, "error"),
+    (Effect.ONCE_ONLY, Scope.ALL, O.TIMED_OUT, False, "error"),
+    (Effect.ONCE_ONLY, Scope.ALL, O.RESET, False, "error"),
+    (Effect.ONCE_ONLY, Scope.ALL, O.CANCELLED, False, "error"),
+    (Effect.REFERENCED, Scope.ALL, O.RESET, True, "push_back"),
+    (Effect.REFERENCED, Scope.LOCATION, O.RESET, True, "error"),
+    (Effect.REFERENCED, Scope.CELL, O.ERRORED, True, "error"),
+])
+def test_no_effect_twice(effect, scope, outcome, again, answer):
+    world = World(effect=effect, scope=scope)
+    batch = world.take()
+    world.end(batch, outcome)
+    assert (len(batch.sends) == 2) is again
+    for _ in range(3):
+        if any(send.out for send in batch.sends):
+            world.end(batch, outcome)
+        world.run(SECOND)
+    world.run(12 * SECOND)
+    assert len(world.did("push_back") + world.did("error")) == 1
+    assert len(world.did(answer)) == 1
+
+
+@pytest.mark.parametrize(("scope", "field"), [(Scope.LOCATION, "location"), (Scope.CELL, "cell")])
+def test_a_referenced_batch_stays_in_its_scope_and_window(scope, field):
+    world = World(engines=0, effect=Effect.REFERENCED, scope=scope, window=2 * SECOND, late_utility=0.5)
+    world.gateway.listed([entry(0, **{field: 1}), entry(1, **{field: 2}), entry(2, **{field: 1})], True)
+    batch = world.take()
+    home = getattr(batch.sends[0].engine.entry, field)
+    world.end(batch, O.ERRORED)
+    assert all(getattr(send.engine.entry, field) == home for send in batch.sends)
+    late = world.take()
+    world.run(2 * SECOND)
+    world.end(late, O.ERRORED, lasted=2 * SECOND)
+    assert len(late.sends) == 1 and (late.arrival.index,) in world.did("error")
+
+
+@pytest.mark.parametrize("state", [EngineState.DRAINING, EngineState.GONE, None])
+def test_nothing_new_to_a_draining_or_gone_engine(state):
+    world = World(engines=2)
+    if state is None:
+        world.gateway.listed([world.entries[1]], True)
+    else:
+        world.gateway.listed([dataclasses.replace(world.entries[0], state=state)], False)
+    for _ in range(20):
+        world.take()
+    assert {d[1] for d in world.did("dispatch")} == {1}
+
+
+@pytest.mark.parametrize("bound", [{"locations": (1,)}, {"kinds": (1,)}])
+def test_placement_is_kept_when_the_allowed_engines_are_gone(bound):
+    world = World(engines=2, **bound)
+    world.gateway.listed([entry(2, location=1, kind=1)], False)
+    batch = world.take()
+    assert world.did("dispatch")[-1][1] == 2
+    world.end(batch, O.ERRORED)
+    world.gateway.listed([entry(2, location=1, kind=1, state=EngineState.GONE)], False)
+    world.take()
+    world.run(12 * SECOND)
+    assert {d[1] for d in world.did("dispatch")} == {2}
+    assert len(world.did("push_back")) >= 1
+
+
+def test_order_of_a_key_and_its_rest():
+    world = World(in_order=True, pause=SECOND, late_utility=0.9)
+    batches = [world.take(key=5) for _ in range(3)]
+    other = world.take(key=6)
+    assert [len(b.sends) for b in (*batches, other)] == [1, 0, 0, 1]
+    world.end(batches[0], O.RETURNED)
+    assert [len(b.sends) for b in batches] == [1, 1, 0]
+    batches[1].left()
+    assert not batches[2].sends  # a dispatch without an outcome is still out
+    world.end(batches[1], O.RESET)
+    world.run(SECOND - 100)
+    assert not batches[2].sends
+    world.run(400)
+    assert len(batches[2].sends) == 1
+
+
+@pytest.mark.parametrize("engines", [0, 1, 3])
+@pytest.mark.parametrize("effect", list(Effect))
+def test_one_final_answer_before_the_limit(engines, effect):
+    world = World(engines=engines, effect=effect)
+    batches = [world.take(memory=BUSY, limit=limit) for limit in (1, 100, 5000, 20_000, 100_000) * 5]
+    ends = {b.arrival.index: world.now + limit for b, limit in zip(batches, (1, 100, 5000, 20_000, 100_000) * 5,
+                                                                   strict=True)}
+    answered: dict[int, int] = {}
+    start = world.now
+    while world.now < start + 120_000:
+        world.run(50)
+        for batch in batches:
+            for number, send in enumerate(batch.sends):
+                assert world.now <= ends[batch.arrival.index] or not send.out
+                if send.out and any(d[0] == batch.arrival.index and send.sent + d[2] <= world.now
+                                    for d in world.did("dispatch")):
+                    batch.ended(number, O.TIMED_OUT, 1, False, 0, 0.0, None)
+        for name in ("push_back", "error"):
+            for call in world.did(name):
+                answered.setdefault(call[0], world.now)
+    assert all(answered[i] <= ends[i] or ends[i] - start < 200 for i in ends)
+    assert len(world.did("push_back") + world.did("error")) == len(batches)
+
+
+def test_a_silent_engine_is_left_alone_then_tried():
+    world = World(engines=2)
+    stuck = [b for b in (world.take() for _ in range(40)) if b.sends[0].engine.entry.engine == 0]
+    for batch in list(stuck):
+        assert batch.sends[0].out
+    for _ in range(100):
+        world.run(200)
+        for batch in [world.take(), world.take()]:
+            if batch.sends and batch.sends[0].engine.entry.engine == 1:
+                world.end(batch, O.RETURNED)
+    late = [d for d in world.did("dispatch")[-60:] if d[1] == 0]
+    assert len(late) <= 3
+
+
+def test_a_failing_engine_does_not_look_attractive():
+    world = World(engines=3)
+    for _ in range(60):
+        world.run(500)
+        batch = world.take()
+        while any(send.out for send in batch.sends):
+            bad = batch.sends[-1].engine.entry.engine == 0
+            world.end(batch, O.ERRORED if bad else O.RETURNED, lasted=50 if bad else 1500)
+    assert sum(d[1] == 0 for d in world.did("dispatch")[-40:]) <= 8
+
+
+def test_a_reset_engine_comes_back_as_a_cold_one():
+    world = World(engines=1, late_utility=0.5)
+    batch = world.take()
+    world.end(batch, O.RESET)
+    world.run(600)
+    assert len(batch.sends) == 1  # not before a while has passed
+    world.run(SECOND)
+    world.end(batch, O.RETURNED)
+    assert world.gateway._engines[0].ramp.share(world.now) < 0.5
+
+
+def test_a_spill_note_lifts_the_next_grant():
+    world = World(engines=1)
+    batch = world.take(memory=1000.0)
+    batch.noted(0, NoteKind.SPILL, 300.0)
+    world.end(batch, O.RETURNED, memory=0.0)
+    world.take(memory=1000.0)
+    first, second = (call[1] for call in world.did("grant"))
+    assert second > first
--- /dev/null
+++ b/vanerelay/decide.py
@@ -0,0 +1,631 @@
+"""Every decision of vanerelay: what runs, where, with how much memory, and what is given up.
+
+How to call it: make one Gateway for each life of a process. Hand it every change of the list of
+engines (listed, list_failed) and every batch (take, which gives a Batch). All that happens to a
+batch later is a call on that Batch: ended, noted, started, left. The Gateway answers through the
+Transport of vanerelay/interface.py, where all types that cross the border are found. Times are
+whole tenths of a millisecond; batches and engines go by the caller's small indices.
+"""
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+from statistics import median
+
+from vanerelay.interface import (
+    MILLISECOND, NEVER_RAN, SECOND, Allowances, Arrival, ColdStart, Customer, Effect, EngineEntry,
+    EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope, ServiceGroup, Transport,
+)
+
+BEAT = 20 * MILLISECOND  # how often the line, the limits and the engines' health are looked over
+UNSTOPPED = frozenset({Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED})  # may be running still
+
+
+class Ring:
+    """Sums over a span of time, in fixed buckets that are used again in turn."""
+
+    def __init__(self, span: int, fields: int, buckets: int = 10) -> None:
+        self._width = max(1, -(-span // buckets))
+        self._sums = [[0.0] * fields for _ in range(buckets + 1)]
+        self._stamps = [-1] * (buckets + 1)
+
+    def add(self, now: int, *values: float) -> None:
+        stamp = now // self._width
+        slot = stamp % len(self._sums)
+        if self._stamps[slot] != stamp:
+            self._stamps[slot] = stamp
+            self._sums[slot] = [0.0] * len(values)
+        for field, value in enumerate(values):
+            self._sums[slot][field] += value
+
+    def total(self, now: int, field: int, short: bool = False) -> float:
+        """At least the whole span is summed; with `short`, never more than the span."""
+        oldest = now // self._width - len(self._sums) + (3 if short else 1)
+        return sum(s[field] for s, stamp in zip(self._sums, self._stamps, strict=True) if stamp >= oldest)
+
+
+class Peaks:
+    """Grants from remembered peaks, by service group and table group."""
+
+    MARGIN = 1.25  # over a remembered peak: not every run of a shape sees the same data
+    STEP = 1.25  # ladder of buckets: each this much over the one below
+    KEPT = 30 * SECOND
+
+    def __init__(self, groups: int) -> None:
+        self._peaks: dict[tuple[int, int], tuple[float, int]] = {}
+        self._means = [(0.0, 0)] * groups
+
+    def size(self, now: int, group: int, tables: int, told: float, cap: float) -> float:
+        peak, until = self._peaks.get((group, tables), (0.0, 0))
+        wanted = peak * self.MARGIN if until > now else told or self._means[group][0]
+        if wanted <= 0.0:
+            return 0.0
+        return min(cap, self.STEP ** math.ceil(math.log(wanted, self.STEP) - 1e-9))
+
+    def learn(self, now: int, group: int, tables: int, peak: float, grant: float) -> None:
+        mean, seen = self._means[group]
+        self._means[group] = (mean + (peak - mean) / min(seen + 1, 50), seen + 1)
+        # A need above the grant was not met: the grant is remembered, so that the margin lifts the next run.
+        self._peaks[group, tables] = (grant if 0.0 < grant < peak else peak, now + self.KEPT)
+
+    def spilled(self, now: int, group: int, tables: int, grant: float) -> None:
+        self._peaks[group, tables] = (grant, now + self.KEPT)
+
+    def loaded(self, tables: int) -> None:
+        for key in [key for key in self._peaks if key[1] == tables]:
+            del self._peaks[key]
+
+
+class Pace:
+    """What batches cost and how long they run, by service group, learned from answers."""
+
+    def __init__(self, groups: Sequence[ServiceGroup]) -> None:
+        self._groups = groups
+        self._rings = [Ring(20 * SECOND, 5) for _ in groups]  # count, work, told, lasted, ideal
+
+    def learn(self, now: int, group: int, told: int, work: int, lasted: int) -> None:
+        self._rings[group].add(now, 1, work, told or work, lasted, work / self._groups[group].threads)
+
+    def work(self, now: int, group: int, told: int) -> float:
+        """The work of all threads of a batch; the told cost is mended by the group's record."""
+        count, work = self._rings[group].total(now, 0), self._rings[group].total(now, 1)
+        if told:
+            return told * (work + 1) / (self._rings[group].total(now, 2) + 1)
+        return work / count if count else self._groups[group].goal / 4
+
+    def usual(self, now: int, group: int, told: int) -> float:
+        count = self._rings[group].total(now, 0)
+        return self._rings[group].total(now, 1) / count if count >= 5 else max(told, self._groups[group].goal / 4)
+
+    def run(self, now: int, group: int, told: int) -> float:
+        ring, threads = self._rings[group], self._groups[group].threads
+        slowdown = (ring.total(now, 3) + 1) / (ring.total(now, 4) + 1) if ring.total(now, 0) else 1.5
+        return self.work(now, group, told) / threads * max(1.0, slowdown)
+
+
+class Ledger:
+    """This gateway's own grants on one engine, against its slice of the memory."""
+
+    def __init__(self, memory: float, share: float) -> None:
+        self.memory, self._slice = memory, memory * share
+        self.granted, self.running = 0.0, 0
+
+    def room(self, level: float) -> float:
+        return self._slice * level - self.granted
+
+    def begin(self, grant: float) -> None:
+        self.granted += grant
+        self.running += 1
+
+    def end(self, grant: float) -> None:
+        self.granted = max(0.0, self.granted - grant)
+        self.running -= 1
+
+
+class Ramp:
+    """What a freshly started engine may be sent: this gateway's part of the budget of rule 4."""
+
+    BUSY = 0.85  # capacity is the rate at which the cores are this busy
+    CAUTION = 0.7  # part of the budget used: batches cost more or less than their group's usual
+
+    def __init__(self, cold: ColdStart, gateways: int, cores: int) -> None:
+        self._cold, self._part = cold, self.CAUTION / gateways
+        self._capacity = max(1, cores) * self.BUSY
+        self._sent = Ring(max(1, cold.window), 1)
+        self.began = -cold.warm_after
+
+    def share(self, now: int) -> float:
+        """The part of its capacity that the engine has at least."""
+        age = (now - self.began) / max(1, self._cold.warm_after)
+        return min(1.0, self._cold.share + (1.0 - self._cold.share) * max(0.0, age))
+
+    def allows(self, now: int, work: float) -> bool:
+        if now - self.began >= self._cold.warm_after + self._cold.window:
+            return True
+        then = max(self.began, now - self._cold.window)
+        budget = self._cold.multiple * self.share(then) * self._capacity * self._cold.window * self._part
+        return self._sent.total(now, 0) + work <= budget
+
+    def sent(self, now: int, work: float) -> None:
+        self._sent.add(now, work)
+
+
+class Health:
+    """One figure for an engine, from 0 (say nothing to it) to 1 (sound), from what its answers show."""
+
+    QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
+    PATIENCE = 3.0  # runs that may pass without a word
+    RISE = 0.5  # most that the level may recover in a second
+    LOW = 0.15  # under this an engine gets one trial batch at a time
+
+    def __init__(self) -> None:
+        self._ring = Ring(4 * SECOND, 4, 8)  # ends, errors, lasted, ideal
+        self._due: int | None = None
+        self._looked = 0
+        self.level = 1.0
+        self.tried = 0
+
+    def sent(self, now: int, run: float) -> None:
+        due = now + int(max(self.QUIET, self.PATIENCE * run))
+        self._due = due if self._due is None else min(self._due, due)
+
+    def heard(self, now: int, out: int) -> None:
+        self._due = now + self.QUIET if out else None
+
+    def ended(self, now: int, errored: bool, lasted: float, ideal: float) -> None:
+        self._ring.add(now, 1, errored, lasted, ideal)
+
+    def lost(self) -> None:
+        """The process died or can't be reached."""
+        self.level = 0.0
+
+    def pace(self, now: int) -> float:
+        """How many times longer than alone its batches ran of late; 0 where too few are known."""
+        ideal = self._ring.total(now, 3)
+        return self._ring.total(now, 2) / ideal if ideal else 0.0
+
+    def look(self, now: int, fleet_pace: float) -> None:
+        ends, errors, pace = self._ring.total(now, 0), self._ring.total(now, 1), self.pace(now)
+        target = (1.0 - errors / (ends + 1.0)) ** 3
+        if pace > 0.0 and fleet_pace > 0.0:
+            target *= min(1.0, 1.5 * fleet_pace / pace)
+        if self._due is not None and now > self._due:
+            target = 0.0
+        rise = self.RISE * (now - self._looked) / SECOND
+        self.level, self._looked = min(target, self.level + rise), now
+
+
+class Engine:
+    """One engine as this gateway knows it."""
+
+    def __init__(self, entry: EngineEntry, ledger: Ledger, ramp: Ramp) -> None:
+        self.entry, self.ledger, self.ramp, self.health = entry, ledger, ramp, Health()
+        self.listed = True
+        self.lost = False
+        self.report: LoadReport | None = None
+        self.granted_then = 0.0
+
+    def level(self, now: int) -> float:
+        return self.health.level * self.ramp.share(now)
+
+    def heard(self, now: int, report: LoadReport | None) -> None:
+        self.health.heard(now, self.ledger.running)
+        if report is not None:
+            self.report, self.granted_then = report, self.ledger.granted
+
+    def load(self, cores: int) -> float:
+        """Reported utilisation plus own grants since; own grants alone where nothing is reported."""
+        memory, own = max(1.0, self.ledger.memory), self.ledger.granted
+        seen = self.report
+        shares = [] if seen is None else [
+            s for s in (seen.cores_busy, seen.memory_granted, seen.disks_busy) if s is not None]
+        if seen is not None and not shares and seen.running is not None:
+            shares = [seen.running / max(1, cores)]
+        if not shares:
+            return own / memory
+        return max(0.0, max(shares) + (own - self.granted_then) / memory)
+
+
+class Picker:
+    """Draws among engines that fit: the less loaded and the sounder, the likelier."""
+
+    SHARP = 6.0
+    NEAR = 1.3  # an engine of the own location is this much likelier: crossing costs a little
+
+    def __init__(self, chance: random.Random, location: int, kinds: Sequence[MachineKind]) -> None:
+        self._chance, self._location, self._kinds = chance, location, kinds
+
+    def draw(self, now: int, engines: Sequence[Engine]) -> Engine:
+        weights = []
+        for engine in engines:
+            cores = self._kinds[engine.entry.kind].cores if engine.entry.kind < len(self._kinds) else 1
+            near = self.NEAR if engine.entry.location == self._location else 1.0
+            load = engine.load(cores) / max(0.05, engine.level(now))
+            weights.append(near * max(1, cores) * math.exp(-self.SHARP * min(load, 9.0)))
+        return self._chance.choices(engines, [w + 1e-12 for w in weights])[0]
+
+
+class Ration:
+    """Rule 7: dispatches beyond each batch's first, in any window."""
+
+    def __init__(self, terms: RationTerms) -> None:
+        self._terms = terms
+        self._ring = Ring(max(1, terms.span), 2, 50)
+
+    def took(self, now: int) -> None:
+        self._ring.add(now, 1, 0)
+
+    def allows(self, now: int) -> bool:
+        if not self._terms.span:
+            return True
+        taken = self._ring.total(now, 0, short=True)
+        return self._ring.total(now, 1) + 1 <= self._terms.free + self._terms.share * taken
+
+    def spend(self, now: int) -> None:
+        self._ring.add(now, 0, 1)
+
+
+class Turns:
+    """Rule 5: batches of one key run one at a time, in the order taken."""
+
+    def __init__(self, pause: int) -> None:
+        self._pause = pause
+        self._queues: dict[int, deque[Batch]] = {}
+        self._rests: dict[int, tuple[int, Batch]] = {}
+
+    def join(self, key: int, batch: Batch) -> None:
+        self._queues.setdefault(key, deque()).append(batch)
+
+    def unsure(self, now: int, key: int, batch: Batch) -> None:
+        """A dispatch of this key may still run: later batches let the key rest."""
+        self._rests[key] = (now + self._pause + 1, batch)
+
+    def ready(self, now: int, key: int, batch: Batch) -> bool:
+        until, owner = self._rests.get(key, (0, batch))
+        return self._queues[key][0] is batch and (owner is batch or now >= until)
+
+    def next(self, now: int, key: int) -> tuple[Batch | None, int]:
+        """Drops what is settled; gives the batch whose turn comes, and how long it must rest."""
+        queue = self._queues.get(key)
+        while queue and queue[0].settled():
+            queue.popleft()
+        rest = max(0, self._rests.get(key, (0, None))[0] - now)
+        if not queue:
+            self._queues.pop(key, None)
+            if not rest:
+                self._rests.pop(key, None)
+            return None, rest
+        return queue[0], rest
+
+
+class Dispatch:
+    """One sending of a batch to an engine."""
+
+    __slots__ = ("engine", "grant", "out", "outcome", "sent")
+
+    def __init__(self, engine: Engine, grant: float, sent: int) -> None:
+        self.engine, self.grant, self.sent = engine, grant, sent
+        self.out, self.outcome = True, Outcome.RETURNED
+
+    def may_have_run(self) -> bool:
+        return self.out or self.outcome not in NEVER_RAN
+
+
+class Batch:
+    """The handle of one batch: all that happens to it after it was taken is a call here."""
+
+    def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, taken: int, rank: int) -> None:
+        self._gateway, self.arrival, self.group, self.taken, self.rank = gateway, arrival, group, taken, rank
+        self.sends: list[Dispatch] = []
+        self.held = self.over = False
+        self.held_since = taken
+        self.goal_at = self.give_up_at = arrival.time_limit
+
+    def out(self) -> bool:
+        return any(send.out for send in self.sends)
+
+    def settled(self) -> bool:
+        return self.over and not self.out()
+
+    def harmless(self) -> bool:
+        """Rule 2: whether a pushback may say that trying again does no harm."""
+        if self.group.effect is Effect.REPEATABLE or not any(s.may_have_run() for s in self.sends):
+            return True
+        return self.group.effect is Effect.REFERENCED and self.group.scope is Scope.ALL
+
+    def may_go(self, now: int, engine: EngineEntry) -> bool:
+        """Rules 2 and 6: whether a dispatch to this engine is allowed."""
+        group = self.group
+        if group.locations is not None and engine.location not in group.locations:
+            return False
+        if group.kinds is not None and engine.kind not in group.kinds:
+            return False
+        for send in self.sends:
+            if not send.may_have_run() or group.effect is Effect.REPEATABLE:
+                continue
+            if group.effect is Effect.ONCE_ONLY or now >= send.sent + group.window - 1:
+                return False
+            first = send.engine.entry
+            if group.scope is Scope.LOCATION and first.location != engine.location:
+                return False
+            if group.scope is Scope.CELL and first.cell != engine.cell:
+                return False
+        return True
+
+    def lane(self) -> tuple[object, ...]:
+        """Batches that may go to the same engines stand in one line; all unbound ones share one."""
+        bound = () if self.group.effect is Effect.REPEATABLE else tuple(
+            send.engine.entry.engine for send in self.sends if send.may_have_run())
+        return (self.group.locations, self.group.kinds, bound)
+
+    def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
+              report: LoadReport | None) -> None:
+        self.over = self.over or over
+        self._gateway.ended(self, self.sends[dispatch], outcome, lasted, work, memory, report)
+
+    def noted(self, dispatch: int, kind: NoteKind, value: float) -> None:
+        self._gateway.noted(self, self.sends[dispatch], kind, value)
+
+    def started(self, dispatch: int) -> None:
+        """A streamed answer has begun: it is the client's now, and ends with its dispatch."""
+        self._gateway.noted(self, self.sends[dispatch], NoteKind.PROGRESS, 0.0)
+
+    def left(self) -> None:
+        self.over = True
+        self._gateway.finished(self)
+
+
+class Gateway:
+    """One gateway: takes batches, and decides alone."""
+
+    WAIT_BOUND = 2 * SECOND  # a head held longer gets a cut grant
+    RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
+
+    def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
+                 kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
+                 ration: RationTerms, customers: Sequence[Customer], order_pause: int, tick: int) -> None:
+        self._transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
+        self._allowed, self._cold, self._customers = allowed, cold, customers
+        self._margin = 2 * tick + BEAT + 1  # kept free before a time limit
+        self._peaks, self._pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
+        self._turns = Turns(order_pause)
+        self._picker = Picker(random.Random(seed), place.location, kinds)
+        self._engines: dict[int, Engine] = {}
+        self._lines: dict[tuple[object, ...], list[tuple[int, Batch]]] = {}
+        self._limits: list[tuple[int, int, Batch]] = []
+        self._rank = 0
+        self._beating = False
+        if allowed.on_request:
+            transport.subscribe()
+
+    # The list of engines.
+
+    def listed(self, entries: Sequence[EngineEntry], whole: bool) -> None:
+        now = self._transport.now
+        if whole:
+            for engine in self._engines.values():
+                engine.listed = False
+        for entry in entries:
+            engine = self._engines.get(entry.engine) or self._new_engine(entry)
+            if entry.started > engine.entry.started or (engine.ramp.began < 0 and entry.started):
+                engine.ramp.began = entry.started
+                engine.report = None
+            engine.entry, engine.listed = entry, entry.state is EngineState.UP
+        self._serve_line(now)
+
+    def list_failed(self) -> None:
+        self._transport.call_later(SECOND, self._transport.subscribe)
+
+    def _new_engine(self, entry: EngineEntry) -> Engine:
+        kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
+        ramp = Ramp(self._cold, self._place.gateways, kind.cores)
+        engine = Engine(entry, Ledger(kind.memory, 1.0 / self._place.gateways), ramp)
+        self._engines[entry.engine] = engine
+        return engine
+
+    # The ordinary path of a batch.
+
+    def take(self, arrival: Arrival) -> Batch:
+        now, group = self._transport.now, self._groups[arrival.group]
+        self._rank += 1
+        batch = Batch(self, arrival, group, now, self._rank)
+        work = self._pace.work(now, arrival.group, arrival.cost)
+        batch.goal_at = min(arrival.time_limit, now + group.goal + int(group.goal_stretch * work / group.threads))
+        self._ration.took(now)
+        if arrival.time_limit <= now + self._margin:
+            self._give_up(batch)
+            return batch
+        if group.in_order and arrival.key is not None:
+            self._turns.join(arrival.key, batch)
+        self._hold(batch)
+        if not group.in_order or arrival.key is None or self._turns.ready(now, arrival.key, batch):
+            self._queue(batch)
+            self._serve_line(now)
+        return batch
+
+    def _serve(self, batch: Batch) -> bool:
+        """Size, fit, draw, send. False: no engine fits, and the batch waits holding nothing."""
+        now, arrival, group = self._transport.now, batch.arrival, batch.group
+        usual = self._pace.usual(now, arrival.group, arrival.cost)
+        able = [e for e in self._engines.values() if self._able(now, batch, e, usual)]
+        if not able:
+            return False
+        memory = min(e.ledger.memory for e in able)
+        cap = memory * min(1.0 / 3.0, self._allowed.most_grant) if memory else math.inf
+        grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
+        fitting = [e for e in able if e.ledger.room(e.level(now)) >= grant or not e.ledger.running]
+        if not fitting:
+            bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
+            if now - batch.held_since < bound:
+                return False
+            fitting = [max(able, key=lambda e: e.ledger.room(e.level(now)))]
+            grant = max(min(grant, fitting[0].ledger.room(1.0)), grant / 4)
+        engine = self._picker.draw(now, fitting)
+        if self._allowed.grants or self._allowed.priorities:
+            self._transport.grant(arrival.index, round(grant), 1)
+        if batch.sends:
+            self._ration.spend(now)
+        run = self._pace.run(now, arrival.group, arrival.cost)
+        batch.sends.append(Dispatch(engine, grant, now))
+        batch.held = False
+        engine.ledger.begin(grant)
+        engine.ramp.sent(now, usual)
+        engine.health.sent(now, run)
+        engine.health.tried = now
+        self._transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
+        return True
+
+    def _able(self, now: int, batch: Batch, engine: Engine, usual: float) -> bool:
+        """Rules 2, 3, 4, 6, and whether the engine is in health to be sent this batch."""
+        if not engine.listed or not batch.may_go(now, engine.entry) or not engine.ramp.allows(now, usual):
+            return False
+        if engine.health.level >= Health.LOW:
+            return True
+        # A trial, with little at stake: one batch at a time that may run again.
+        return (batch.group.effect is Effect.REPEATABLE and not engine.ledger.running
+                and now - engine.health.tried >= SECOND)
+
+    def _time_out(self, now: int, batch: Batch, run: float) -> int:
+        """Until the limit, unless another dispatch could still bring the batch home in time."""
+        left = batch.arrival.time_limit - now - self._margin + BEAT
+        if batch.group.effect is Effect.ONCE_ONLY or len(batch.sends) >= self._allowed.most_dispatches:
+            return max(1, left)
+        return max(1, min(left, int(max(4 * run, (batch.goal_at - now) / 2))))
+
+    # The line.
+
+    def _hold(self, batch: Batch) -> None:
+        now, arrival = self._transport.now, batch.arrival
+        run = self._pace.run(now, arrival.group, arrival.cost)
+        batch.held, batch.held_since = True, now
+        batch.give_up_at = min(arrival.time_limit - self._margin, max(batch.goal_at - int(run), now + BEAT))
+        heapq.heappush(self._limits, (batch.give_up_at, batch.rank, batch))
+        if not self._beating:
+            self._beating = True
+            self._transport.call_later(BEAT, self._beat)
+
+    def _queue(self, batch: Batch) -> None:
+        heapq.heappush(self._lines.setdefault(batch.lane(), []), (batch.rank, batch))
+
+    def _serve_line(self, now: int) -> None:
+        """Freed room goes to the line's head, one batch at a time, in the order of arrival."""
+        for lane in list(self._lines):
+            line = self._lines[lane]
+            while line and (not line[0][1].held or self._serve(line[0][1])):
+                heapq.heappop(line)
+            if not line:
+                del self._lines[lane]
+
+    def _beat(self) -> None:
+        now = self._transport.now
+        paces = [p for p in (e.health.pace(now) for e in self._engines.values() if e.listed) if p > 0.0]
+        fleet = median(paces) if paces else 0.0
+        for engine in self._engines.values():
+            before = engine.health.level
+            engine.health.look(now, fleet)
+            if (before < Health.LOW) != (engine.health.level < Health.LOW):
+                state = "held back" if engine.health.level < Health.LOW else "back in use"
+                self._transport.log(f"engine {engine.entry.name} {state}")
+        self._serve_line(now)
+        while self._limits and self._limits[0][0] <= now:
+            batch = heapq.heappop(self._limits)[2]
+            if batch.held and not batch.over and batch.give_up_at <= now:
+                self._give_up(batch)
+        self._beating = bool(self._limits) or any(e.ledger.running for e in self._engines.values())
+        if self._beating:
+            self._transport.call_later(BEAT, self._beat)
+
+    # What happens to a batch.
+
+    def ended(self, batch: Batch, send: Dispatch, outcome: Outcome, lasted: int, work: int, memory: float,
+              report: LoadReport | None) -> None:
+        now, arrival, engine = self._transport.now, batch.arrival, send.engine
+        send.out, send.outcome = False, outcome
+        if outcome is Outcome.TIMED_OUT and not self._allowed.cancel:
+            # The engine works on at what was given up: its memory stays booked for as long again.
+            self._transport.call_later(
+                min(lasted, 5 * SECOND), lambda: self._release(engine, send.grant))
+        else:
+            engine.ledger.end(send.grant)
+        if outcome not in (Outcome.TIMED_OUT, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.CANCELLED):
+            engine.heard(now, report)
+        if outcome is Outcome.RETURNED:
+            if engine.lost:
+                engine.lost, engine.ramp.began = False, max(engine.ramp.began, send.sent)
+            if work:
+                self._pace.learn(now, arrival.group, arrival.cost, work, lasted)
+            if memory:
+                self._peaks.learn(now, arrival.group, arrival.tables, memory, send.grant)
+            if batch.group.is_load:
+                self._peaks.loaded(arrival.tables)
+            engine.health.ended(now, False, lasted, work / batch.group.threads)
+        elif outcome is Outcome.ERRORED:
+            engine.health.ended(now, True, 0, 0)
+        elif outcome is Outcome.TIMED_OUT:
+            engine.health.ended(now, False, lasted, self._pace.work(now, arrival.group, arrival.cost)
+                                / batch.group.threads)
+        elif outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
+            engine.lost = True
+            engine.health.lost()
+        if outcome in UNSTOPPED and batch.group.in_order and arrival.key is not None:
+            self._turns.unsure(now, arrival.key, batch)
+        if not batch.over and not batch.out():
+            self._try_again(batch)
+        elif batch.over:
+            self.finished(batch)
+        self._serve_line(now)
+
+    def _release(self, engine: Engine, grant: float) -> None:
+        engine.ledger.end(grant)
+        self._serve_line(self._transport.now)
+
+    def _try_again(self, batch: Batch) -> None:
+        now, arrival, group = self._transport.now, batch.arrival, batch.group
+        run = self._pace.run(now, arrival.group, arrival.cost)
+        useful = batch.goal_at if group.late_utility <= 0.0 else arrival.time_limit - self._margin
+        if (len(batch.sends) < self._allowed.most_dispatches and self._ration.allows(now)
+                and now + run / 2 < useful
+                and any(e.listed and batch.may_go(now, e.entry) for e in self._engines.values())):
+            self._hold(batch)
+            self._queue(batch)
+        else:
+            self._give_up(batch)
+
+    def _give_up(self, batch: Batch) -> None:
+        """The final answer, at once; a pushback only where trying again does no harm."""
+        batch.over, batch.held = True, False
+        if batch.harmless():
+            wait = min(self.RETRY_AFTER, self._allowed.longest_retry_time) if self._allowed.retry_times else 0
+            self._transport.push_back(batch.arrival.index, wait)
+        else:
+            self._transport.error(batch.arrival.index)
+        self.finished(batch)
+
+    def finished(self, batch: Batch) -> None:
+        """It is over: the next batch of its key may have its turn."""
+        batch.held = False
+        key = batch.arrival.key
+        if not batch.group.in_order or key is None:
+            return
+        following, rest = self._turns.next(self._transport.now, key)
+        if rest:
+            self._transport.call_later(rest, lambda: self.finished(batch))
+        elif following is not None and following.held and not following.sends:
+            self._queue(following)
+            self._serve_line(self._transport.now)
+
+    def noted(self, batch: Batch, send: Dispatch, kind: NoteKind, value: float) -> None:
+        now = self._transport.now
+        send.engine.health.heard(now, send.engine.ledger.running)
+        if kind is NoteKind.SPILL:
+            self._peaks.spilled(now, batch.arrival.group, batch.arrival.tables, send.grant)
+
+    def probed(self, engine: int, outcome: Outcome, report: LoadReport | None) -> None:
+        if outcome is Outcome.RETURNED:
+            self._engines[engine].heard(self._transport.now, report)
+
+    def heard(self, sender: int, data: bytes) -> None:
+        """A peer's message; none is sent yet."""
--- /dev/null
+++ b/vanerelay/interface.py
@@ -0,0 +1,218 @@
+"""Types that go in and out of the decision module, and the protocol it calls out through.
+
+All times are whole tenths of a millisecond. Batches and engines go by small indices that the
+caller hands out; an engine's name is kept beside its index only because it is the same at every
+gateway. Nothing in this file chooses anything.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+MILLISECOND = 10
+SECOND = 10_000
+
+
+class Outcome(Enum):
+    """How one dispatch ended."""
+
+    RETURNED = "returned"
+    ERRORED = "errored"
+    PUSHED_BACK = "pushed back"
+    TIMED_OUT = "timed out"
+    NO_CONNECTION = "no connection"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+
+
+NEVER_RAN = frozenset({Outcome.PUSHED_BACK, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
+
+
+class Effect(Enum):
+    """What a second run of a batch would do."""
+
+    REPEATABLE = "repeatable"
+    REFERENCED = "referenced"
+    ONCE_ONLY = "once-only"
+
+
+class Scope(Enum):
+    """The engines that drop repeats of a referenced batch."""
+
+    ALL = "all"
+    LOCATION = "location"
+    CELL = "cell"
+
+
+class EngineState(Enum):
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Shortage(Enum):
+    """What an engine does with a batch whose grant passes its free memory."""
+
+    WAIT = "wait"
+    SHRINK = "shrink"
+    PAGE = "page"
+
+
+class NoteKind(Enum):
+    PROGRESS = "progress"
+    SPILL = "spill"
+    WAITING = "waiting"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceGroup:
+    """What the operators state of one service group."""
+
+    name: str
+    goal: int
+    goal_stretch: float
+    time_limit: int
+    utility: float
+    late_utility: float
+    effect: Effect
+    scope: Scope
+    window: int
+    in_order: bool
+    locations: tuple[int, ...] | None
+    kinds: tuple[int, ...] | None
+    threads: int
+    is_load: bool
+    waits_for_loads: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MachineKind:
+    """Cores and memory (MB) of one kind of machine; 0 where not told."""
+
+    cores: int
+    memory: float
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where this gateway stands among its peers."""
+
+    number: int
+    gateways: int
+    location: int
+
+
+@dataclass(frozen=True, slots=True)
+class Allowances:
+    """What this gateway may do, as told."""
+
+    most_dispatches: int
+    cancel: bool
+    copies: bool
+    probes: bool
+    peers: bool
+    retry_times: bool
+    longest_retry_time: int
+    grants: bool
+    most_grant: float
+    priorities: bool
+    tells_cost: bool
+    shortage: Shortage
+    on_request: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """Figures of the rule that guards freshly started engines."""
+
+    share: float
+    warm_after: int
+    multiple: float
+    window: int
+
+
+@dataclass(frozen=True, slots=True)
+class RationTerms:
+    """Figures of the rule on further dispatches; a span of 0 means that none is stated."""
+
+    span: int
+    free: int
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer's batches a second, across all gateways, that lie within its share."""
+
+    quota: float
+    over_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEntry:
+    """One line of the list of engines; `started` is 0 when that was long ago."""
+
+    engine: int
+    name: str
+    location: int
+    kind: int
+    cell: int
+    state: EngineState
+    weight: float
+    started: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an engine said of its load; None where it says nothing of the kind."""
+
+    running: float | None = None
+    waiting: float | None = None
+    cores_busy: float | None = None
+    memory_granted: float | None = None
+    disks_busy: float | None = None
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A batch as it comes in; cost is 0 and memory 0 where no estimate was told."""
+
+    index: int
+    group: int
+    customer: int
+    key: int | None
+    time_limit: int
+    cost: int
+    memory: float
+    tables: int
+    is_retry: bool
+
+
+class Transport(Protocol):
+    """All that the decision module can do to the world. Calls take effect in the order made."""
+
+    @property
+    def now(self) -> int: ...
+
+    def dispatch(self, batch: int, engine: int, time_out: int) -> None: ...
+
+    def grant(self, batch: int, memory: float, priority: int) -> None: ...
+
+    def push_back(self, batch: int, retry_after: int) -> None: ...
+
+    def error(self, batch: int) -> None: ...
+
+    def cancel(self, batch: int, dispatch: int) -> None: ...
+
+    def tell(self, peer: int | None, data: bytes) -> None: ...
+
+    def probe(self, engine: int) -> None: ...
+
+    def subscribe(self) -> None: ...
+
+    def call_later(self, delay: int, callback: Callable[[], None]) -> None: ...
+
+    def log(self, text: str) -> None: ...
