--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -47,36 +47,77 @@
         return sum(s[field] for s, stamp in zip(self._sums, self._stamps, strict=True) if stamp >= oldest)
 
 
+class Estimate:
+    """Mends told figures: least squares of the log of what was needed on the log of what was told."""
+
+    MEMORY = 200  # answers that count; older ones fade
+    FAITH = 2.0  # answers' worth of trust that told figures get before any came
+
+    def __init__(self) -> None:
+        self.seen = 0
+        self._x = self._y = self._xx = self._xy = self._yy = 0.0
+
+    def learn(self, told: float, real: float) -> None:
+        self.seen += 1
+        part = 1.0 / min(self.seen, self.MEMORY)
+        dx, dy = math.log(max(told, 1.0)) - self._x, math.log(max(real, 1.0)) - self._y
+        self._x, self._y = self._x + part * dx, self._y + part * dy
+        self._xx += part * ((1 - part) * dx * dx - self._xx)
+        self._xy += part * ((1 - part) * dx * dy - self._xy)
+        self._yy += part * ((1 - part) * dy * dy - self._yy)
+
+    def slope(self) -> float:
+        faith = self.FAITH / (self.seen + self.FAITH)
+        return min(1.0, max(0.0, (self._xy + faith) / (self._xx + faith)))
+
+    def log(self, told: float) -> float:
+        """The log of the figure to expect; of the told one where nothing was learned."""
+        x = math.log(max(told, 1.0))
+        return self._y + self.slope() * (x - self._x) if self.seen else x
+
+    def spread(self) -> float:
+        return math.sqrt(max(0.0, self._yy - self.slope() * self._xy)) if self.seen > 1 else 0.0
+
+
 class Peaks:
-    """Grants from remembered peaks, by service group and table group."""
+    """Grants from remembered peaks, by service group and table group.
+
+    One shape's runs differ several times over, and the last peak alone would leave half of them short.
+    So a peak is remembered against what was told of its batch: as the mean of its log over the
+    expected one. It harms nothing where estimates are worthless, for their slope is then learned as 0.
+    """
 
-    MARGIN = 1.25  # over a remembered peak: not every run of a shape sees the same data
-    STEP = 1.25  # ladder of buckets: each this much over the one below
+    MARGIN = 1.25  # over an expected peak, where the spread asks for no more
+    SPREADS = 1.0  # how many spreads of past peaks the margin covers
+    STEP = 1.12  # ladder of buckets: each this much over the one below
     KEPT = 30 * SECOND
+    RUNS = 20  # runs that an entry averages
 
     def __init__(self, groups: int) -> None:
-        self._peaks: dict[tuple[int, int], tuple[float, int]] = {}
-        self._means = [(0.0, 0)] * groups
+        self._shapes: dict[tuple[int, int], tuple[float, int, int]] = {}  # offset, runs, until
+        self._told = [Estimate() for _ in range(groups)]
 
     def size(self, now: int, group: int, tables: int, told: float, cap: float) -> float:
-        peak, until = self._peaks.get((group, tables), (0.0, 0))
-        wanted = peak * self.MARGIN if until > now else told or self._means[group][0]
-        if wanted <= 0.0:
+        estimate = self._told[group]
+        offset, _, until = self._shapes.get((group, tables), (0.0, 0, 0))
+        if not told and not estimate.seen:
             return 0.0
-        return min(cap, self.STEP ** math.ceil(math.log(wanted, self.STEP) - 1e-9))
-
-    def learn(self, now: int, group: int, tables: int, peak: float, grant: float) -> None:
-        mean, seen = self._means[group]
-        self._means[group] = (mean + (peak - mean) / min(seen + 1, 50), seen + 1)
-        # A need above the grant was not met: the grant is remembered, so that the margin lifts the next run.
-        self._peaks[group, tables] = (grant if 0.0 < grant < peak else peak, now + self.KEPT)
-
-    def spilled(self, now: int, group: int, tables: int, grant: float) -> None:
-        self._peaks[group, tables] = (grant, now + self.KEPT)
+        margin = max(math.log(self.MARGIN), self.SPREADS * estimate.spread())
+        wanted = estimate.log(told) + margin + (offset if until > now else 0.0)
+        step = math.log(self.STEP)
+        return min(cap, math.exp(step * math.ceil(wanted / step - 1e-9)))
+
+    def learn(self, now: int, group: int, tables: int, told: float, peak: float) -> None:
+        offset, runs, until = self._shapes.get((group, tables), (0.0, 0, 0))
+        runs = runs + 1 if until > now else 1
+        miss = math.log(max(peak, 1.0)) - self._told[group].log(told) if self._told[group].seen else 0.0
+        offset += (miss - offset) / min(runs + 2, self.RUNS)
+        self._shapes[group, tables] = (offset, runs, now + self.KEPT)
+        self._told[group].learn(told, peak)
 
     def loaded(self, tables: int) -> None:
-        for key in [key for key in self._peaks if key[1] == tables]:
-            del self._peaks[key]
+        for key in [key for key in self._shapes if key[1] == tables]:
+            del self._shapes[key]
 
 
 class Pace:
@@ -84,26 +125,31 @@
 
     def __init__(self, groups: Sequence[ServiceGroup]) -> None:
         self._groups = groups
-        self._rings = [Ring(20 * SECOND, 5) for _ in groups]  # count, work, told, lasted, ideal
+        self._told = [Estimate() for _ in groups]
+        self._ran = [Ring(20 * SECOND, 2) for _ in groups]  # lasted, ideal
+        self._came = [Ring(20 * SECOND, 2) for _ in groups]  # count, work
 
     def learn(self, now: int, group: int, told: int, work: int, lasted: int) -> None:
-        self._rings[group].add(now, 1, work, told or work, lasted, work / self._groups[group].threads)
+        self._told[group].learn(told, work)
+        self._ran[group].add(now, lasted, work / self._groups[group].threads)
+
+    def came(self, now: int, group: int, told: int) -> None:
+        self._came[group].add(now, 1, self.work(group, told))
 
-    def work(self, now: int, group: int, told: int) -> float:
-        """The work of all threads of a batch; the told cost is mended by the group's record."""
-        count, work = self._rings[group].total(now, 0), self._rings[group].total(now, 1)
-        if told:
-            return told * (work + 1) / (self._rings[group].total(now, 2) + 1)
-        return work / count if count else self._groups[group].goal / 4
+    def work(self, group: int, told: int) -> float:
+        """The work of all threads of a batch."""
+        estimate = self._told[group]
+        return math.exp(estimate.log(told)) if told or estimate.seen else self._groups[group].goal / 4
 
-    def usual(self, now: int, group: int, told: int) -> float:
-        count = self._rings[group].total(now, 0)
-        return self._rings[group].total(now, 1) / count if count >= 5 else max(told, self._groups[group].goal / 4)
+    def usual(self, now: int, group: int) -> float:
+        """The group's mean work, from arrivals: those that returned in a crowd are the light ones."""
+        mean = self._came[group].total(now, 1) / max(1.0, self._came[group].total(now, 0))
+        return mean * math.exp(self._told[group].spread() ** 2 / 2)
 
     def run(self, now: int, group: int, told: int) -> float:
-        ring, threads = self._rings[group], self._groups[group].threads
-        slowdown = (ring.total(now, 3) + 1) / (ring.total(now, 4) + 1) if ring.total(now, 0) else 1.5
-        return self.work(now, group, told) / threads * max(1.0, slowdown)
+        ring = self._ran[group]
+        slowdown = (ring.total(now, 0) + 1) / (ring.total(now, 1) + 1)
+        return self.work(group, told) / self._groups[group].threads * max(1.5, slowdown)
 
 
 class Ledger:
@@ -154,33 +200,40 @@
 
 
 class Health:
-    """One figure for an engine, from 0 (say nothing to it) to 1 (sound), from what its answers show."""
+    """One figure for an engine, from 0 (silent or lost) to 1 (sound), from what its answers show."""
 
     QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
-    PATIENCE = 3.0  # runs that may pass without a word
+    PATIENCE = 3.0  # a dispatch out for this many times its expected run is overdue
+    OVERDUE = 2  # overdue dispatches, with nothing heard since, that make an engine silent
     RISE = 0.5  # most that the level may recover in a second
     LOW = 0.15  # under this an engine gets one trial batch at a time
 
     def __init__(self) -> None:
         self._ring = Ring(4 * SECOND, 4, 8)  # ends, errors, lasted, ideal
-        self._due: int | None = None
-        self._looked = 0
+        self._dues: dict[int, int] = {}
+        self._heard = self._looked = self._missed = 0
+        self._lost = False
         self.level = 1.0
         self.tried = 0
 
-    def sent(self, now: int, run: float) -> None:
-        due = now + int(max(self.QUIET, self.PATIENCE * run))
-        self._due = due if self._due is None else min(self._due, due)
+    def sent(self, now: int, key: int, run: float) -> None:
+        self._dues[key] = now + int(max(self.QUIET, self.PATIENCE * run))
+        self.tried = now
 
-    def heard(self, now: int, out: int) -> None:
-        self._due = now + self.QUIET if out else None
+    def heard(self, now: int) -> None:
+        self._heard, self._missed, self._lost = now, 0, False
 
-    def ended(self, now: int, errored: bool, lasted: float, ideal: float) -> None:
-        self._ring.add(now, 1, errored, lasted, ideal)
-
-    def lost(self) -> None:
-        """The process died or can't be reached."""
-        self.level = 0.0
+    def ended(self, now: int, key: int, outcome: Outcome, lasted: int, ideal: float) -> None:
+        due = self._dues.pop(key, now)
+        if outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
+            self._lost, self.level = True, 0.0
+        elif outcome is Outcome.TIMED_OUT:
+            self._missed += now > due
+            self._ring.add(now, 1, 0, lasted, ideal)
+        elif outcome is Outcome.RETURNED:
+            self._ring.add(now, 1, 0, lasted, ideal)
+        elif outcome in (Outcome.ERRORED, Outcome.PUSHED_BACK):
+            self._ring.add(now, 1, 1, 0, 0)
 
     def pace(self, now: int) -> float:
         """How many times longer than alone its batches ran of late; 0 where too few are known."""
@@ -192,10 +245,11 @@
         target = (1.0 - errors / (ends + 1.0)) ** 3
         if pace > 0.0 and fleet_pace > 0.0:
             target *= min(1.0, 1.5 * fleet_pace / pace)
-        if self._due is not None and now > self._due:
-            target = 0.0
+        if now - self._heard > self.QUIET:
+            overdue = self._missed + sum(now > due for due in self._dues.values())
+            target *= overdue < self.OVERDUE
         rise = self.RISE * (now - self._looked) / SECOND
-        self.level, self._looked = min(target, self.level + rise), now
+        self.level, self._looked = min(target * (not self._lost), self.level + rise), now
 
 
 class Engine:
@@ -212,7 +266,7 @@
         return self.health.level * self.ramp.share(now)
 
     def heard(self, now: int, report: LoadReport | None) -> None:
-        self.health.heard(now, self.ledger.running)
+        self.health.heard(now)
         if report is not None:
             self.report, self.granted_then = report, self.ledger.granted
 
@@ -432,9 +486,10 @@
         now, group = self._transport.now, self._groups[arrival.group]
         self._rank += 1
         batch = Batch(self, arrival, group, now, self._rank)
-        work = self._pace.work(now, arrival.group, arrival.cost)
+        work = self._pace.work(arrival.group, arrival.cost)
         batch.goal_at = min(arrival.time_limit, now + group.goal + int(group.goal_stretch * work / group.threads))
         self._ration.took(now)
+        self._pace.came(now, arrival.group, arrival.cost)
         if arrival.time_limit <= now + self._margin:
             self._give_up(batch)
             return batch
@@ -448,8 +503,8 @@
 
     def _serve(self, batch: Batch) -> bool:
         """Size, fit, draw, send. False: no engine fits, and the batch waits holding nothing."""
-        now, arrival, group = self._transport.now, batch.arrival, batch.group
-        usual = self._pace.usual(now, arrival.group, arrival.cost)
+        now, arrival = self._transport.now, batch.arrival
+        usual = self._pace.usual(now, arrival.group)
         able = [e for e in self._engines.values() if self._able(now, batch, e, usual)]
         if not able:
             return False
@@ -473,8 +528,7 @@
         batch.held = False
         engine.ledger.begin(grant)
         engine.ramp.sent(now, usual)
-        engine.health.sent(now, run)
-        engine.health.tried = now
+        engine.health.sent(now, id(batch.sends[-1]), run)
         self._transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
         return True
 
@@ -493,7 +547,7 @@
         left = batch.arrival.time_limit - now - self._margin + BEAT
         if batch.group.effect is Effect.ONCE_ONLY or len(batch.sends) >= self._allowed.most_dispatches:
             return max(1, left)
-        return max(1, min(left, int(max(4 * run, (batch.goal_at - now) / 2))))
+        return max(1, min(left, int(max(8 * run, (batch.goal_at - now) * 0.7))))
 
     # The line.
 
@@ -550,7 +604,7 @@
                 min(lasted, 5 * SECOND), lambda: self._release(engine, send.grant))
         else:
             engine.ledger.end(send.grant)
-        if outcome not in (Outcome.TIMED_OUT, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.CANCELLED):
+        if outcome not in (Outcome.TIMED_OUT, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.CANCELLED, Outcome.RESET):
             engine.heard(now, report)
         if outcome is Outcome.RETURNED:
             if engine.lost:
@@ -558,18 +612,13 @@
             if work:
                 self._pace.learn(now, arrival.group, arrival.cost, work, lasted)
             if memory:
-                self._peaks.learn(now, arrival.group, arrival.tables, memory, send.grant)
+                self._peaks.learn(now, arrival.group, arrival.tables, arrival.memory, memory)
             if batch.group.is_load:
                 self._peaks.loaded(arrival.tables)
-            engine.health.ended(now, False, lasted, work / batch.group.threads)
-        elif outcome is Outcome.ERRORED:
-            engine.health.ended(now, True, 0, 0)
-        elif outcome is Outcome.TIMED_OUT:
-            engine.health.ended(now, False, lasted, self._pace.work(now, arrival.group, arrival.cost)
-                                / batch.group.threads)
         elif outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
             engine.lost = True
-            engine.health.lost()
+        work = work or int(self._pace.work(arrival.group, arrival.cost))
+        engine.health.ended(now, id(send), outcome, lasted, work / batch.group.threads)
         if outcome in UNSTOPPED and batch.group.in_order and arrival.key is not None:
             self._turns.unsure(now, arrival.key, batch)
         if not batch.over and not batch.out():
@@ -618,10 +667,10 @@
             self._serve_line(self._transport.now)
 
     def noted(self, batch: Batch, send: Dispatch, kind: NoteKind, value: float) -> None:
-        now = self._transport.now
-        send.engine.health.heard(now, send.engine.ledger.running)
+        now, arrival = self._transport.now, batch.arrival
+        send.engine.health.heard(now)
         if kind is NoteKind.SPILL:
-            self._peaks.spilled(now, batch.arrival.group, batch.arrival.tables, send.grant)
+            self._peaks.learn(now, arrival.group, arrival.tables, arrival.memory, send.grant + value)
 
     def probed(self, engine: int, outcome: Outcome, report: LoadReport | None) -> None:
         if outcome is Outcome.RETURNED:
