--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -50,12 +50,16 @@
     assert peaks.size(later, 0, 5, 1000.0, 9e9) < 2 * peaks.size(Peaks.KEPT + 1, 0, 6, 1000.0, 9e9)
 
 
-def test_ledger_holds_whole_grants_against_the_slice():
-    ledger = Ledger(3000.0, 0.5)
-    ledger.begin(1000.0)
-    assert (ledger.room(1.0), ledger.room(0.8), ledger.running) == (500.0, 200.0, 1)
-    ledger.end(1000.0)
-    assert (ledger.room(1.0), ledger.running) == (1500.0, 0)
+@pytest.mark.parametrize(("grant", "threads", "level", "fits"), [
+    (500.0, 1, 1.0, True), (501.0, 1, 1.0, False), (200.0, 1, 0.8, True), (201.0, 1, 0.8, False),
+    (100.0, 12, 1.0, True), (100.0, 13, 1.0, False),
+])
+def test_ledger_holds_grants_and_threads_against_the_slice(grant, threads, level, fits):
+    ledger = Ledger(3000.0, 16, 0.5)
+    ledger.begin(1000.0, 4)
+    assert ledger.fits(grant, threads, level) is fits
+    ledger.end(1000.0, 4)
+    assert (ledger.granted, ledger.threads, ledger.running) == (0.0, 0, 0)
 
 
 @pytest.mark.parametrize(("taken", "spent", "allowed"), [
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -153,22 +153,44 @@
 
 
 class Ledger:
-    """This gateway's own grants on one engine, against its slice of the memory."""
+    """This gateway's own grants and threads on one engine, against its slice.
 
-    def __init__(self, memory: float, share: float) -> None:
-        self.memory, self._slice = memory, memory * share
-        self.granted, self.running = 0.0, 0
+    Memory alone lets in so many light batches that an engine does less work in all: the slice
+    holds threads too, as many a core as the engine's answers show it to bear.
+    """
+
+    START, LEAST, MOST = 2.0, 0.7, 3.0  # threads a core
+    CROWDED = 2.5  # running this many times longer than alone means too many threads
+    GROW, SHRINK = 0.01, 0.97  # a beat
+
+    def __init__(self, memory: float, cores: int, share: float) -> None:
+        self.memory, self.cores, self._share = max(1.0, memory), max(1, cores), share
+        self.granted, self.running, self.threads = 0.0, 0, 0
+        self.width = self.START
 
     def room(self, level: float) -> float:
-        return self._slice * level - self.granted
+        return self.memory * self._share * level - self.granted
+
+    def fits(self, grant: float, threads: int, level: float) -> bool:
+        return grant <= self.room(level) and (
+            self.threads + threads <= self.cores * self.width * self._share * level)
+
+    def own(self) -> float:
+        """The part of the whole engine that this gateway's dispatches fill."""
+        return max(self.granted / self.memory, self.threads / (self.cores * self.width))
 
-    def begin(self, grant: float) -> None:
-        self.granted += grant
-        self.running += 1
+    def learn(self, pace: float) -> None:
+        if pace > self.CROWDED:
+            self.width = max(self.LEAST, self.width * self.SHRINK)
+        elif pace > 0.0:
+            self.width = min(self.MOST, self.width + self.GROW)
 
-    def end(self, grant: float) -> None:
+    def begin(self, grant: float, threads: int) -> None:
+        self.granted, self.threads, self.running = self.granted + grant, self.threads + threads, self.running + 1
+
+    def end(self, grant: float, threads: int) -> None:
         self.granted = max(0.0, self.granted - grant)
-        self.running -= 1
+        self.threads, self.running = self.threads - threads, self.running - 1
 
 
 class Ramp:
@@ -255,12 +277,13 @@
 class Engine:
     """One engine as this gateway knows it."""
 
+    SPARE = 0.6  # filled less than this by all gateways, it may be sent more than the slice
+
     def __init__(self, entry: EngineEntry, ledger: Ledger, ramp: Ramp) -> None:
         self.entry, self.ledger, self.ramp, self.health = entry, ledger, ramp, Health()
-        self.listed = True
-        self.lost = False
-        self.report: LoadReport | None = None
-        self.granted_then = 0.0
+        self.listed, self.lost = True, False
+        self._report: LoadReport | None = None
+        self._own_then = 0.0
 
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
@@ -268,19 +291,29 @@
     def heard(self, now: int, report: LoadReport | None) -> None:
         self.health.heard(now)
         if report is not None:
-            self.report, self.granted_then = report, self.ledger.granted
-
-    def load(self, cores: int) -> float:
-        """Reported utilisation plus own grants since; own grants alone where nothing is reported."""
-        memory, own = max(1.0, self.ledger.memory), self.ledger.granted
-        seen = self.report
-        shares = [] if seen is None else [
-            s for s in (seen.cores_busy, seen.memory_granted, seen.disks_busy) if s is not None]
-        if seen is not None and not shares and seen.running is not None:
-            shares = [seen.running / max(1, cores)]
-        if not shares:
-            return own / memory
-        return max(0.0, max(shares) + (own - self.granted_then) / memory)
+            self._report, self._own_then = report, self.ledger.own()
+
+    def restarted(self, began: int) -> None:
+        self.ramp.began, self._report = max(self.ramp.began, began), None
+
+    def load(self, threads: float) -> float:
+        """Reported utilisation plus own sends since; own alone where nothing is reported."""
+        seen, ledger = self._report, self.ledger
+        if seen is None:
+            return ledger.own()
+        shares = [s for s in (seen.cores_busy, seen.memory_granted, seen.disks_busy) if s is not None]
+        if seen.running is not None:
+            shares.append(seen.running * threads / (ledger.cores * ledger.width))
+        return max(0.0, max(shares, default=self._own_then) + ledger.own() - self._own_then)
+
+    def fits(self, now: int, grant: float, threads: int, load: float) -> bool:
+        """Whole grants fit the slice. Departure: other gateways' unused part may be borrowed, where
+        reports show the engine under-filled; that serves a gateway with more traffic than its slice."""
+        if not self.ledger.running or self.ledger.fits(grant, threads, self.level(now)):
+            return True
+        whole = self.level(now) * self.SPARE
+        return self._report is not None and load + max(
+            grant / self.ledger.memory, threads / (self.ledger.cores * self.ledger.width)) <= whole
 
 
 class Picker:
@@ -289,17 +322,50 @@
     SHARP = 6.0
     NEAR = 1.3  # an engine of the own location is this much likelier: crossing costs a little
 
-    def __init__(self, chance: random.Random, location: int, kinds: Sequence[MachineKind]) -> None:
-        self._chance, self._location, self._kinds = chance, location, kinds
+    def __init__(self, chance: random.Random, location: int) -> None:
+        self._chance, self._location = chance, location
+
+    def draw(self, now: int, engines: Sequence[Engine], loads: dict[Engine, float]) -> Engine:
+        weights = [
+            (self.NEAR if e.entry.location == self._location else 1.0) * e.ledger.cores
+            * math.exp(-self.SHARP * min(loads[e] / max(0.05, e.level(now)), 9.0)) for e in engines]
+        return self._chance.choices(engines, weights)[0]
 
-    def draw(self, now: int, engines: Sequence[Engine]) -> Engine:
-        weights = []
-        for engine in engines:
-            cores = self._kinds[engine.entry.kind].cores if engine.entry.kind < len(self._kinds) else 1
-            near = self.NEAR if engine.entry.location == self._location else 1.0
-            load = engine.load(cores) / max(0.05, engine.level(now))
-            weights.append(near * max(1, cores) * math.exp(-self.SHARP * min(load, 9.0)))
-        return self._chance.choices(engines, [w + 1e-12 for w in weights])[0]
+
+class Door:
+    """Under overload, turns away what earns least for its work, before it has cost anything.
+
+    Overload is a line whose head never waited less than TARGET for a while. Guards also against
+    bursts and heavy batches; it may harm a group whose batches all earn little for their work.
+    """
+
+    TARGET = 300 * MILLISECOND
+    STEP = 0.02  # the part of the offered work by which the bar moves at a time
+    MOST = 0.95
+    EVERY = 200 * MILLISECOND
+    KEPT = 200  # arrivals that stand for the traffic
+
+    def __init__(self) -> None:
+        self._came: deque[tuple[float, float]] = deque(maxlen=self.KEPT)
+        self._least, self._until = math.inf, 0
+        self.share, self._bar = 0.0, 0.0
+
+    def admits(self, utility: float, work: float) -> bool:
+        self._came.append((utility / max(1.0, work), work))
+        return not self.share or self._came[-1][0] >= self._bar
+
+    def look(self, now: int, wait: int) -> None:
+        self._least = min(self._least, wait)
+        if now < self._until:
+            return
+        excess = self._least / self.TARGET - 1.0
+        self.share = min(self.MOST, max(0.0, self.share + self.STEP * min(3.0, excess)))
+        self._least, self._until = math.inf, now + self.EVERY
+        left = self.share * sum(work for _, work in self._came)
+        for density, work in sorted(self._came):
+            self._bar, left = density, left - work
+            if left < 0:
+                break
 
 
 class Ration:
@@ -446,7 +512,8 @@
         self._margin = 2 * tick + BEAT + 1  # kept free before a time limit
         self._peaks, self._pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
         self._turns = Turns(order_pause)
-        self._picker = Picker(random.Random(seed), place.location, kinds)
+        self._picker, self._door = Picker(random.Random(seed), place.location), Door()
+        self._threads = 1.0  # the mean of what came
         self._engines: dict[int, Engine] = {}
         self._lines: dict[tuple[object, ...], list[tuple[int, Batch]]] = {}
         self._limits: list[tuple[int, int, Batch]] = []
@@ -464,9 +531,8 @@
                 engine.listed = False
         for entry in entries:
             engine = self._engines.get(entry.engine) or self._new_engine(entry)
-            if entry.started > engine.entry.started or (engine.ramp.began < 0 and entry.started):
-                engine.ramp.began = entry.started
-                engine.report = None
+            if entry.started:
+                engine.restarted(entry.started)
             engine.entry, engine.listed = entry, entry.state is EngineState.UP
         self._serve_line(now)
 
@@ -476,7 +542,7 @@
     def _new_engine(self, entry: EngineEntry) -> Engine:
         kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
         ramp = Ramp(self._cold, self._place.gateways, kind.cores)
-        engine = Engine(entry, Ledger(kind.memory, 1.0 / self._place.gateways), ramp)
+        engine = Engine(entry, Ledger(kind.memory, kind.cores, 1.0 / self._place.gateways), ramp)
         self._engines[entry.engine] = engine
         return engine
 
@@ -490,7 +556,8 @@
         batch.goal_at = min(arrival.time_limit, now + group.goal + int(group.goal_stretch * work / group.threads))
         self._ration.took(now)
         self._pace.came(now, arrival.group, arrival.cost)
-        if arrival.time_limit <= now + self._margin:
+        self._threads += (group.threads - self._threads) / 100
+        if not self._door.admits(group.utility, work) or arrival.time_limit <= now + self._margin:
             self._give_up(batch)
             return batch
         if group.in_order and arrival.key is not None:
@@ -511,14 +578,16 @@
         memory = min(e.ledger.memory for e in able)
         cap = memory * min(1.0 / 3.0, self._allowed.most_grant) if memory else math.inf
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
-        fitting = [e for e in able if e.ledger.room(e.level(now)) >= grant or not e.ledger.running]
+        threads = batch.group.threads
+        loads = {e: e.load(self._threads) for e in able}
+        fitting = [e for e in able if e.fits(now, grant, threads, loads[e])]
         if not fitting:
             bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
             if now - batch.held_since < bound:
                 return False
             fitting = [max(able, key=lambda e: e.ledger.room(e.level(now)))]
             grant = max(min(grant, fitting[0].ledger.room(1.0)), grant / 4)
-        engine = self._picker.draw(now, fitting)
+        engine = self._picker.draw(now, fitting, loads)
         if self._allowed.grants or self._allowed.priorities:
             self._transport.grant(arrival.index, round(grant), 1)
         if batch.sends:
@@ -526,7 +595,7 @@
         run = self._pace.run(now, arrival.group, arrival.cost)
         batch.sends.append(Dispatch(engine, grant, now))
         batch.held = False
-        engine.ledger.begin(grant)
+        engine.ledger.begin(grant, threads)
         engine.ramp.sent(now, usual)
         engine.health.sent(now, id(batch.sends[-1]), run)
         self._transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
@@ -580,10 +649,13 @@
         for engine in self._engines.values():
             before = engine.health.level
             engine.health.look(now, fleet)
+            engine.ledger.learn(engine.health.pace(now))
             if (before < Health.LOW) != (engine.health.level < Health.LOW):
                 state = "held back" if engine.health.level < Health.LOW else "back in use"
                 self._transport.log(f"engine {engine.entry.name} {state}")
         self._serve_line(now)
+        heads = [line[0][1] for line in self._lines.values()]
+        self._door.look(now, max((now - head.held_since for head in heads), default=0))
         while self._limits and self._limits[0][0] <= now:
             batch = heapq.heappop(self._limits)[2]
             if batch.held and not batch.over and batch.give_up_at <= now:
@@ -601,14 +673,15 @@
         if outcome is Outcome.TIMED_OUT and not self._allowed.cancel:
             # The engine works on at what was given up: its memory stays booked for as long again.
             self._transport.call_later(
-                min(lasted, 5 * SECOND), lambda: self._release(engine, send.grant))
+                min(2 * lasted, 20 * SECOND), lambda: self._release(engine, send.grant, batch.group.threads))
         else:
-            engine.ledger.end(send.grant)
+            engine.ledger.end(send.grant, batch.group.threads)
         if outcome not in (Outcome.TIMED_OUT, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.CANCELLED, Outcome.RESET):
             engine.heard(now, report)
         if outcome is Outcome.RETURNED:
             if engine.lost:
-                engine.lost, engine.ramp.began = False, max(engine.ramp.began, send.sent)
+                engine.lost = False
+                engine.restarted(send.sent)
             if work:
                 self._pace.learn(now, arrival.group, arrival.cost, work, lasted)
             if memory:
@@ -627,8 +700,8 @@
             self.finished(batch)
         self._serve_line(now)
 
-    def _release(self, engine: Engine, grant: float) -> None:
-        engine.ledger.end(grant)
+    def _release(self, engine: Engine, grant: float, threads: int) -> None:
+        engine.ledger.end(grant, threads)
         self._serve_line(self._transport.now)
 
     def _try_again(self, batch: Batch) -> None:
