--- a/vanerelay/adapter/instance.py
+++ b/vanerelay/adapter/instance.py
@@ -8,7 +8,7 @@
 
 from vanerelay.adapter import wire
 from vanerelay.decide import Batch, Gateway
-from vanerelay.interface import Arrival
+from vanerelay.interface import Arrival, NoteKind
 
 Orders = list[dict[str, Any]]
 
@@ -75,18 +75,14 @@
         elif verb == "first":
             held = self._held.get(e["requestId"])
             if held is not None and held.batch is not None:
-                self._call(held.batch.started, int(e.get("seqNo", 0)))
+                self._call(held.batch.noted, int(e.get("seqNo", 0)), NoteKind.PROGRESS, 0.0)
         elif verb == "rosterChange":
             self._roster(e, pages)
         elif verb == "checkResult":
-            report = wire.load_report(self._reported, e.get("telemetry"))
-            engine, outcome = self._engine(e["engine"]), wire.OUTCOMES[e["status"]]
-            if self._gateway is not None:
-                self._call(self._gateway.probed, engine, outcome, report)
+            # The module sends no probes and no messages yet: what comes is read, and nobody asked for it.
+            _ = self._engine(e["engine"]), wire.OUTCOMES[e["status"]]
         elif verb == "fromPeer":
-            sender, data = int(e["neighbour"]), base64.b64decode(e.get("data") or "")
-            if self._gateway is not None:
-                self._call(self._gateway.heard, sender, data)
+            _ = int(e["neighbour"]), base64.b64decode(e.get("data") or "")
         else:
             raise ValueError(f"unknown event {verb!r}")
 
@@ -161,7 +157,8 @@
             method(*values)
         except Exception as fault:
             frame = traceback.extract_tb(fault.__traceback__)[-1]
-            self._order("fatal", message=f"{type(fault).__name__}: {fault} ({frame.name}, line {frame.lineno})")
+            cause = f"{type(fault).__name__}: {fault} ({frame.name}, line {frame.lineno})"
+            self._order("fatal", message=cause)
 
     # What the module calls out: the Transport.
 
--- a/vanerelay/adapter/wire.py
+++ b/vanerelay/adapter/wire.py
@@ -85,7 +85,8 @@
     info = profile.get("familyInfo") or {}
     cores, memory = info.get("cpuOfKind") or [], info.get("memoryByKindMb") or []
     return [
-        MachineKind(int(cores[row]) if row < len(cores) else 0, float(memory[row]) if row < len(memory) else 0.0)
+        MachineKind(
+            int(cores[row]) if row < len(cores) else 0, float(memory[row]) if row < len(memory) else 0.0)
         for row in range(len(profile.get("kinds") or []))
     ]
 
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -1,91 +1,34 @@
 """Every decision of vanerelay: what runs, where, with how much memory, and what is given up.
 
-How to call it: make one Gateway for each life of a process. Hand it every change of the list of
-engines (listed, list_failed) and every batch (take, which gives a Batch). All that happens to a
-batch later is a call on that Batch: ended, noted, started, left. The Gateway answers through the
-Transport of vanerelay/interface.py, where all types that cross the border are found. Times are
-whole tenths of a millisecond; batches and engines go by the caller's small indices.
+How to call it: make one Gateway for each life of a process. Hand it every change of the list of engines
+(listed, list_failed) and every batch (take, which gives a Batch). All that happens to a batch later is a
+call on that Batch: ended, noted, left. The Gateway answers through the Transport of vanerelay/interface.py,
+where all types that cross the border are found. Times are whole tenths of a millisecond.
 """
 from __future__ import annotations
 
 import heapq
 import math
 import random
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from statistics import median
 
 from vanerelay.interface import (
-    MILLISECOND, NEVER_RAN, SECOND, Allowances, Arrival, ColdStart, Customer, Effect, EngineEntry,
-    EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope, ServiceGroup, Transport,
+    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, ColdStart, Customer, Effect,
+    EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
+    ServiceGroup, Transport,
 )
+from vanerelay.measure import Estimate, Ring
 
+ANSWERS, FAITH = 200, 2.0  # answers an estimate learns from; answers' worth of trust in the told figure
 BEAT = 20 * MILLISECOND  # how often the line, the limits and the engines' health are looked over
-UNSTOPPED = frozenset({Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED})  # may be running still
-
-
-class Ring:
-    """Sums over a span of time, in fixed buckets that are used again in turn."""
-
-    def __init__(self, span: int, fields: int, buckets: int = 10) -> None:
-        self._width = max(1, -(-span // buckets))
-        self._sums = [[0.0] * fields for _ in range(buckets + 1)]
-        self._stamps = [-1] * (buckets + 1)
-
-    def add(self, now: int, *values: float) -> None:
-        stamp = now // self._width
-        slot = stamp % len(self._sums)
-        if self._stamps[slot] != stamp:
-            self._stamps[slot] = stamp
-            self._sums[slot] = [0.0] * len(values)
-        for field, value in enumerate(values):
-            self._sums[slot][field] += value
-
-    def total(self, now: int, field: int, short: bool = False) -> float:
-        """At least the whole span is summed; with `short`, never more than the span."""
-        oldest = now // self._width - len(self._sums) + (3 if short else 1)
-        return sum(s[field] for s, stamp in zip(self._sums, self._stamps, strict=True) if stamp >= oldest)
-
-
-class Estimate:
-    """Mends told figures: least squares of the log of what was needed on the log of what was told."""
-
-    MEMORY = 200  # answers that count; older ones fade
-    FAITH = 2.0  # answers' worth of trust that told figures get before any came
-
-    def __init__(self) -> None:
-        self.seen = 0
-        self._x = self._y = self._xx = self._xy = self._yy = 0.0
-
-    def learn(self, told: float, real: float) -> None:
-        self.seen += 1
-        part = 1.0 / min(self.seen, self.MEMORY)
-        dx, dy = math.log(max(told, 1.0)) - self._x, math.log(max(real, 1.0)) - self._y
-        self._x, self._y = self._x + part * dx, self._y + part * dy
-        self._xx += part * ((1 - part) * dx * dx - self._xx)
-        self._xy += part * ((1 - part) * dx * dy - self._xy)
-        self._yy += part * ((1 - part) * dy * dy - self._yy)
-
-    def slope(self) -> float:
-        faith = self.FAITH / (self.seen + self.FAITH)
-        return min(1.0, max(0.0, (self._xy + faith) / (self._xx + faith)))
-
-    def log(self, told: float) -> float:
-        """The log of the figure to expect; of the told one where nothing was learned."""
-        x = math.log(max(told, 1.0))
-        return self._y + self.slope() * (x - self._x) if self.seen else x
-
-    def spread(self) -> float:
-        return math.sqrt(max(0.0, self._yy - self.slope() * self._xy)) if self.seen > 1 else 0.0
 
 
 class Peaks:
-    """Grants from remembered peaks, by service group and table group.
-
-    One shape's runs differ several times over, and the last peak alone would leave half of them short.
-    So a peak is remembered against what was told of its batch: as the mean of its log over the
-    expected one. It harms nothing where estimates are worthless, for their slope is then learned as 0.
-    """
+    """Grants from remembered peaks, by service group and table group. Runs of one shape differ several
+    times over: peaks are remembered against what was told of their batches (slope 0 if it tells nothing)."""
 
     MARGIN = 1.25  # over an expected peak, where the spread asks for no more
     SPREADS = 1.0  # how many spreads of past peaks the margin covers
@@ -95,17 +38,14 @@
 
     def __init__(self, groups: int) -> None:
         self._shapes: dict[tuple[int, int], tuple[float, int, int]] = {}  # offset, runs, until
-        self._told = [Estimate() for _ in range(groups)]
+        self._told = [Estimate(ANSWERS, FAITH) for _ in range(groups)]
 
     def size(self, now: int, group: int, tables: int, told: float, cap: float) -> float:
-        estimate = self._told[group]
-        offset, _, until = self._shapes.get((group, tables), (0.0, 0, 0))
-        if not told and not estimate.seen:
-            return 0.0
+        estimate, (offset, _, until) = self._told[group], self._shapes.get((group, tables), (0.0, 0, 0))
         margin = max(math.log(self.MARGIN), self.SPREADS * estimate.spread())
         wanted = estimate.log(told) + margin + (offset if until > now else 0.0)
         step = math.log(self.STEP)
-        return min(cap, math.exp(step * math.ceil(wanted / step - 1e-9)))
+        return min(cap, math.exp(step * math.ceil(wanted / step - 1e-9))) if told or estimate.seen else 0.0
 
     def learn(self, now: int, group: int, tables: int, told: float, peak: float) -> None:
         offset, runs, until = self._shapes.get((group, tables), (0.0, 0, 0))
@@ -116,48 +56,40 @@
         self._told[group].learn(told, peak)
 
     def loaded(self, tables: int) -> None:
-        for key in [key for key in self._shapes if key[1] == tables]:
-            del self._shapes[key]
+        self._shapes = {key: shape for key, shape in self._shapes.items() if key[1] != tables}
 
 
 class Pace:
     """What batches cost and how long they run, by service group, learned from answers."""
 
     def __init__(self, groups: Sequence[ServiceGroup]) -> None:
-        self._groups = groups
-        self._told = [Estimate() for _ in groups]
+        self._groups, self._told = groups, [Estimate(ANSWERS, FAITH) for _ in groups]
         self._ran = [Ring(20 * SECOND, 2) for _ in groups]  # lasted, ideal
-        self._came = [Ring(20 * SECOND, 2) for _ in groups]  # count, work
 
     def learn(self, now: int, group: int, told: int, work: int, lasted: int) -> None:
         self._told[group].learn(told, work)
         self._ran[group].add(now, lasted, work / self._groups[group].threads)
 
-    def came(self, now: int, group: int, told: int) -> None:
-        self._came[group].add(now, 1, self.work(group, told))
-
     def work(self, group: int, told: int) -> float:
         """The work of all threads of a batch."""
-        estimate = self._told[group]
-        return math.exp(estimate.log(told)) if told or estimate.seen else self._groups[group].goal / 4
+        known = told or self._told[group].seen
+        return math.exp(self._told[group].log(told)) if known else self._groups[group].goal / 4
 
-    def usual(self, now: int, group: int) -> float:
-        """The group's mean work, from arrivals: those that returned in a crowd are the light ones."""
-        mean = self._came[group].total(now, 1) / max(1.0, self._came[group].total(now, 0))
-        return mean * math.exp(self._told[group].spread() ** 2 / 2)
+    def weight(self, group: int, told: int) -> float:
+        """For rule 4, where a batch weighs its group's usual work: never less than its own."""
+        return max(self.work(group, told), self._told[group].mean())
 
     def run(self, now: int, group: int, told: int) -> float:
-        ring = self._ran[group]
-        slowdown = (ring.total(now, 0) + 1) / (ring.total(now, 1) + 1)
-        return self.work(group, told) / self._groups[group].threads * max(1.5, slowdown)
+        slowdown = (self._ran[group].total(now, 0) + 1) / (self._ran[group].total(now, 1) + 1)
+        return self.alone(group, told) * max(1.5, slowdown)
 
+    def alone(self, group: int, told: int) -> float:
+        return self.work(group, told) / self._groups[group].threads
 
-class Ledger:
-    """This gateway's own grants and threads on one engine, against its slice.
 
-    Memory alone lets in so many light batches that an engine does less work in all: the slice
-    holds threads too, as many a core as the engine's answers show it to bear.
-    """
+class Ledger:
+    """This gateway's own grants on one engine against its slice; and its threads, as memory alone lets in
+    so many light batches that an engine gets less done in all. Answers show how many it bears."""
 
     START, LEAST, MOST = 2.0, 0.7, 3.0  # threads a core
     CROWDED = 2.5  # running this many times longer than alone means too many threads
@@ -165,32 +97,27 @@
 
     def __init__(self, memory: float, cores: int, share: float) -> None:
         self.memory, self.cores, self._share = max(1.0, memory), max(1, cores), share
-        self.granted, self.running, self.threads = 0.0, 0, 0
-        self.width = self.START
+        self.granted, self.running, self.threads, self.width = 0.0, 0, 0, self.START
 
     def room(self, level: float) -> float:
         return self.memory * self._share * level - self.granted
 
     def fits(self, grant: float, threads: int, level: float) -> bool:
-        return grant <= self.room(level) and (
-            self.threads + threads <= self.cores * self.width * self._share * level)
+        whole = self.cores * self.width * self._share * level
+        return grant <= self.room(level) and self.threads + threads <= whole
 
-    def own(self) -> float:
-        """The part of the whole engine that this gateway's dispatches fill."""
-        return max(self.granted / self.memory, self.threads / (self.cores * self.width))
+    def part(self, grant: float = 0.0, threads: int = 0) -> float:
+        """The part of the whole engine that this gateway's dispatches fill, with one more."""
+        return max((self.granted + grant) / self.memory, (self.threads + threads) / (self.cores * self.width))
 
     def learn(self, pace: float) -> None:
-        if pace > self.CROWDED:
-            self.width = max(self.LEAST, self.width * self.SHRINK)
-        elif pace > 0.0:
-            self.width = min(self.MOST, self.width + self.GROW)
-
-    def begin(self, grant: float, threads: int) -> None:
-        self.granted, self.threads, self.running = self.granted + grant, self.threads + threads, self.running + 1
+        if pace > 0.0:
+            width = self.width * self.SHRINK if pace > self.CROWDED else self.width + self.GROW
+            self.width = min(self.MOST, max(self.LEAST, width))
 
-    def end(self, grant: float, threads: int) -> None:
-        self.granted = max(0.0, self.granted - grant)
-        self.threads, self.running = self.threads - threads, self.running - 1
+    def change(self, grant: float, threads: int, batches: int) -> None:
+        self.granted = max(0.0, self.granted + grant)
+        self.threads, self.running = self.threads + threads, self.running + batches
 
 
 class Ramp:
@@ -200,10 +127,8 @@
     CAUTION = 0.7  # part of the budget used: batches cost more or less than their group's usual
 
     def __init__(self, cold: ColdStart, gateways: int, cores: int) -> None:
-        self._cold, self._part = cold, self.CAUTION / gateways
-        self._capacity = max(1, cores) * self.BUSY
-        self._sent = Ring(max(1, cold.window), 1)
-        self.began = -cold.warm_after
+        self._cold, self.began, self.sent = cold, -cold.warm_after, Ring(max(1, cold.window), 1)
+        self._budget = cold.multiple * max(1, cores) * self.BUSY * cold.window * self.CAUTION / gateways
 
     def share(self, now: int) -> float:
         """The part of its capacity that the engine has at least."""
@@ -213,12 +138,8 @@
     def allows(self, now: int, work: float) -> bool:
         if now - self.began >= self._cold.warm_after + self._cold.window:
             return True
-        then = max(self.began, now - self._cold.window)
-        budget = self._cold.multiple * self.share(then) * self._capacity * self._cold.window * self._part
-        return self._sent.total(now, 0) + work <= budget
-
-    def sent(self, now: int, work: float) -> None:
-        self._sent.add(now, work)
+        budget = self._budget * self.share(max(self.began, now - self._cold.window))
+        return self.sent.total(now, 0) + work <= budget
 
 
 class Health:
@@ -232,46 +153,36 @@
 
     def __init__(self) -> None:
         self._ring = Ring(4 * SECOND, 4, 8)  # ends, errors, lasted, ideal
-        self._dues: dict[int, int] = {}
-        self._heard = self._looked = self._missed = 0
-        self._lost = False
-        self.level = 1.0
-        self.tried = 0
+        self._out: dict[int, tuple[int, float, float]] = {}  # sent, expected run, ideal run
+        self._heard = self._looked = self._missed = self.tried = 0
+        self.lost, self.level, self.pace = False, 1.0, 0.0
 
-    def sent(self, now: int, key: int, run: float) -> None:
-        self._dues[key] = now + int(max(self.QUIET, self.PATIENCE * run))
-        self.tried = now
+    def sent(self, now: int, key: int, run: float, ideal: float) -> None:
+        self._out[key], self.tried = (now, max(self.QUIET, self.PATIENCE * run), ideal), now
 
     def heard(self, now: int) -> None:
-        self._heard, self._missed, self._lost = now, 0, False
+        self._heard, self._missed, self.lost = now, 0, False
 
-    def ended(self, now: int, key: int, outcome: Outcome, lasted: int, ideal: float) -> None:
-        due = self._dues.pop(key, now)
+    def ended(self, now: int, key: int, outcome: Outcome, ideal: float) -> None:
+        sent, patience, _ = self._out.pop(key)
         if outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
-            self._lost, self.level = True, 0.0
-        elif outcome is Outcome.TIMED_OUT:
-            self._missed += now > due
-            self._ring.add(now, 1, 0, lasted, ideal)
-        elif outcome is Outcome.RETURNED:
-            self._ring.add(now, 1, 0, lasted, ideal)
+            self.lost, self.level = True, 0.0
         elif outcome in (Outcome.ERRORED, Outcome.PUSHED_BACK):
             self._ring.add(now, 1, 1, 0, 0)
-
-    def pace(self, now: int) -> float:
-        """How many times longer than alone its batches ran of late; 0 where too few are known."""
-        ideal = self._ring.total(now, 3)
-        return self._ring.total(now, 2) / ideal if ideal else 0.0
+        elif outcome in (Outcome.TIMED_OUT, Outcome.RETURNED):
+            self._missed += outcome is Outcome.TIMED_OUT and now > sent + patience
+            self._ring.add(now, 1, 0, now - sent, ideal)
 
     def look(self, now: int, fleet_pace: float) -> None:
-        ends, errors, pace = self._ring.total(now, 0), self._ring.total(now, 1), self.pace(now)
-        target = (1.0 - errors / (ends + 1.0)) ** 3
-        if pace > 0.0 and fleet_pace > 0.0:
-            target *= min(1.0, 1.5 * fleet_pace / pace)
-        if now - self._heard > self.QUIET:
-            overdue = self._missed + sum(now > due for due in self._dues.values())
-            target *= overdue < self.OVERDUE
-        rise = self.RISE * (now - self._looked) / SECOND
-        self.level, self._looked = min(target * (not self._lost), self.level + rise), now
+        ends, errors, lasted, ideal = (self._ring.total(now, field) for field in range(4))
+        overdue = [(now - sent, run) for sent, patience, run in self._out.values() if now > sent + patience]
+        lasted, ideal = lasted + sum(age for age, _ in overdue), ideal + sum(run for _, run in overdue)
+        self.pace = lasted / ideal if ideal else 0.0  # how many times longer than alone its batches run
+        slow = max(1.0, self.pace / (1.5 * fleet_pace)) if fleet_pace else 1.0
+        target = (1.0 - errors / (ends + 1.0)) ** 3 / slow
+        if self.lost or now - self._heard > self.QUIET and self._missed + len(overdue) >= self.OVERDUE:
+            target = 0.0
+        self.level, self._looked = min(target, self.level + self.RISE * (now - self._looked) / SECOND), now
 
 
 class Engine:
@@ -279,9 +190,10 @@
 
     SPARE = 0.6  # filled less than this by all gateways, it may be sent more than the slice
 
-    def __init__(self, entry: EngineEntry, ledger: Ledger, ramp: Ramp) -> None:
-        self.entry, self.ledger, self.ramp, self.health = entry, ledger, ramp, Health()
-        self.listed, self.lost = True, False
+    def __init__(self, entry: EngineEntry, kind: MachineKind, cold: ColdStart, gateways: int) -> None:
+        self.entry, self.health, self.listed = entry, Health(), True
+        self.ledger = Ledger(kind.memory, kind.cores, 1.0 / gateways)
+        self.ramp = Ramp(cold, gateways, kind.cores)
         self._report: LoadReport | None = None
         self._own_then = 0.0
 
@@ -291,29 +203,27 @@
     def heard(self, now: int, report: LoadReport | None) -> None:
         self.health.heard(now)
         if report is not None:
-            self._report, self._own_then = report, self.ledger.own()
+            self._report, self._own_then = report, self.ledger.part()
 
     def restarted(self, began: int) -> None:
-        self.ramp.began, self._report = max(self.ramp.began, began), None
+        if began > self.ramp.began:
+            self.ramp.began, self._report = began, None
 
     def load(self, threads: float) -> float:
         """Reported utilisation plus own sends since; own alone where nothing is reported."""
-        seen, ledger = self._report, self.ledger
+        seen, own = self._report, self.ledger.part()
         if seen is None:
-            return ledger.own()
+            return own
         shares = [s for s in (seen.cores_busy, seen.memory_granted, seen.disks_busy) if s is not None]
         if seen.running is not None:
-            shares.append(seen.running * threads / (ledger.cores * ledger.width))
-        return max(0.0, max(shares, default=self._own_then) + ledger.own() - self._own_then)
+            shares.append(seen.running * threads / (self.ledger.cores * self.ledger.width))
+        return max(0.0, max(shares, default=self._own_then) + own - self._own_then)
 
     def fits(self, now: int, grant: float, threads: int, load: float) -> bool:
-        """Whole grants fit the slice. Departure: other gateways' unused part may be borrowed, where
-        reports show the engine under-filled; that serves a gateway with more traffic than its slice."""
-        if not self.ledger.running or self.ledger.fits(grant, threads, self.level(now)):
-            return True
-        whole = self.level(now) * self.SPARE
-        return self._report is not None and load + max(
-            grant / self.ledger.memory, threads / (self.ledger.cores * self.ledger.width)) <= whole
+        """Whole grants fit the slice; or the engine, reported under-filled, lends what others don't use."""
+        return not self.ledger.running or self.ledger.fits(grant, threads, self.level(now)) or (
+            self._report is not None
+            and load + self.ledger.part(grant, threads) - self.ledger.part() <= self.level(now) * self.SPARE)
 
 
 class Picker:
@@ -333,16 +243,11 @@
 
 
 class Door:
-    """Under overload, turns away what earns least for its work, before it has cost anything.
-
-    Overload is a line whose head never waited less than TARGET for a while. Guards also against
-    bursts and heavy batches; it may harm a group whose batches all earn little for their work.
-    """
+    """Under overload (a line whose head never waits less than TARGET) turns away what earns least for its
+    work, before it has cost anything. May harm a group whose batches all earn little for their work."""
 
     TARGET = 300 * MILLISECOND
-    STEP = 0.02  # the part of the offered work by which the bar moves at a time
-    MOST = 0.95
-    EVERY = 200 * MILLISECOND
+    EVERY, STEP, MOST = 200 * MILLISECOND, 0.05, 0.95  # the part of the offered work shed moves by a step
     KEPT = 200  # arrivals that stand for the traffic
 
     def __init__(self) -> None:
@@ -358,8 +263,8 @@
         self._least = min(self._least, wait)
         if now < self._until:
             return
-        excess = self._least / self.TARGET - 1.0
-        self.share = min(self.MOST, max(0.0, self.share + self.STEP * min(3.0, excess)))
+        excess = min(3.0, self._least / self.TARGET - 1.0)
+        self.share = min(self.MOST, max(0.0, self.share + self.STEP * excess))
         self._least, self._until = math.inf, now + self.EVERY
         left = self.share * sum(work for _, work in self._came)
         for density, work in sorted(self._came):
@@ -372,126 +277,138 @@
     """Rule 7: dispatches beyond each batch's first, in any window."""
 
     def __init__(self, terms: RationTerms) -> None:
-        self._terms = terms
-        self._ring = Ring(max(1, terms.span), 2, 50)
-
-    def took(self, now: int) -> None:
-        self._ring.add(now, 1, 0)
+        self._terms, self.ring = terms, Ring(max(1, terms.span), 2, 50)  # taken, further dispatches
 
     def allows(self, now: int) -> bool:
-        if not self._terms.span:
-            return True
-        taken = self._ring.total(now, 0, short=True)
-        return self._ring.total(now, 1) + 1 <= self._terms.free + self._terms.share * taken
-
-    def spend(self, now: int) -> None:
-        self._ring.add(now, 0, 1)
+        most = self._terms.free + self._terms.share * self.ring.total(now, 0, short=True)
+        return not self._terms.span or self.ring.total(now, 1) + 1 <= most
 
 
 class Turns:
     """Rule 5: batches of one key run one at a time, in the order taken."""
 
     def __init__(self, pause: int) -> None:
-        self._pause = pause
-        self._queues: dict[int, deque[Batch]] = {}
-        self._rests: dict[int, tuple[int, Batch]] = {}
+        self._pause, self._rests = pause, dict[int, int]()
+        self.queues: defaultdict[int, deque[Batch]] = defaultdict(deque)
 
-    def join(self, key: int, batch: Batch) -> None:
-        self._queues.setdefault(key, deque()).append(batch)
-
-    def unsure(self, now: int, key: int, batch: Batch) -> None:
+    def unsure(self, now: int, key: int) -> None:
         """A dispatch of this key may still run: later batches let the key rest."""
-        self._rests[key] = (now + self._pause + 1, batch)
-
-    def ready(self, now: int, key: int, batch: Batch) -> bool:
-        until, owner = self._rests.get(key, (0, batch))
-        return self._queues[key][0] is batch and (owner is batch or now >= until)
+        self._rests = {other: until for other, until in self._rests.items() if until > now}
+        self._rests[key] = now + self._pause + 1
 
     def next(self, now: int, key: int) -> tuple[Batch | None, int]:
-        """Drops what is settled; gives the batch whose turn comes, and how long it must rest."""
-        queue = self._queues.get(key)
-        while queue and queue[0].settled():
+        """Drops what is settled; gives the batch whose turn it is, and how long it must rest still."""
+        queue, rest = self.queues[key], max(0, self._rests.get(key, 0) - now)
+        while queue and queue[0].over and not queue[0].out():
             queue.popleft()
-        rest = max(0, self._rests.get(key, (0, None))[0] - now)
         if not queue:
-            self._queues.pop(key, None)
-            if not rest:
-                self._rests.pop(key, None)
-            return None, rest
-        return queue[0], rest
+            del self.queues[key]
+        return (queue[0] if queue else None), rest
 
 
-class Dispatch:
-    """One sending of a batch to an engine."""
+class Line:
+    """Held batches, first come first served; each holds nothing. Unbound batches share one line; those bound
+    to some engines have their own, so that none stands before the rest while its engines are down."""
+
+    def __init__(self) -> None:
+        self._lines: defaultdict[tuple[object, ...], list[Batch]] = defaultdict(list)
 
-    __slots__ = ("engine", "grant", "out", "outcome", "sent")
+    def join(self, batch: Batch) -> None:
+        heapq.heappush(self._lines[batch.bound_to()], batch)
 
-    def __init__(self, engine: Engine, grant: float, sent: int) -> None:
-        self.engine, self.grant, self.sent = engine, grant, sent
-        self.out, self.outcome = True, Outcome.RETURNED
+    def serve(self, admit: Callable[[Batch], bool]) -> None:
+        """Freed room goes to the head, one batch at a time, in the order of arrival."""
+        for bound, line in list(self._lines.items()):
+            while line and (not line[0].held or admit(line[0])):
+                heapq.heappop(line)
+            if not line:
+                self._lines.pop(bound, None)
+
+    def wait(self, now: int) -> int:
+        return max((now - line[0].held_since for line in self._lines.values() if line), default=0)
+
+
+@dataclass(slots=True)
+class Dispatch:
+    """One sending of a batch to an engine; `ran` until an outcome proves that it never did."""
 
-    def may_have_run(self) -> bool:
-        return self.out or self.outcome not in NEVER_RAN
+    engine: Engine
+    grant: float
+    sent: int
+    out: bool = True
+    ran: bool = True
 
 
 class Batch:
     """The handle of one batch: all that happens to it after it was taken is a call here."""
 
-    def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, taken: int, rank: int) -> None:
-        self._gateway, self.arrival, self.group, self.taken, self.rank = gateway, arrival, group, taken, rank
+    def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, rank: int) -> None:
+        self._gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
+        self.key = arrival.key if group.in_order else None
         self.sends: list[Dispatch] = []
         self.held = self.over = False
-        self.held_since = taken
-        self.goal_at = self.give_up_at = arrival.time_limit
+        self.taken = self.held_since = now = gateway.transport.now
+        goal = group.goal + int(group.goal_stretch * gateway.pace.alone(arrival.group, arrival.cost))
+        self.goal_at = self.give_up_at = min(arrival.time_limit, now + goal)
+
+    def __lt__(self, other: Batch) -> bool:
+        return self.rank < other.rank
 
     def out(self) -> bool:
         return any(send.out for send in self.sends)
 
-    def settled(self) -> bool:
-        return self.over and not self.out()
-
     def harmless(self) -> bool:
         """Rule 2: whether a pushback may say that trying again does no harm."""
-        if self.group.effect is Effect.REPEATABLE or not any(s.may_have_run() for s in self.sends):
-            return True
-        return self.group.effect is Effect.REFERENCED and self.group.scope is Scope.ALL
+        return (self.group.effect is Effect.REPEATABLE or not any(send.ran for send in self.sends)
+                or self.group.effect is Effect.REFERENCED and self.group.scope is Scope.ALL)
 
     def may_go(self, now: int, engine: EngineEntry) -> bool:
         """Rules 2 and 6: whether a dispatch to this engine is allowed."""
         group = self.group
-        if group.locations is not None and engine.location not in group.locations:
-            return False
-        if group.kinds is not None and engine.kind not in group.kinds:
-            return False
-        for send in self.sends:
-            if not send.may_have_run() or group.effect is Effect.REPEATABLE:
-                continue
-            if group.effect is Effect.ONCE_ONLY or now >= send.sent + group.window - 1:
-                return False
-            first = send.engine.entry
-            if group.scope is Scope.LOCATION and first.location != engine.location:
-                return False
-            if group.scope is Scope.CELL and first.cell != engine.cell:
-                return False
-        return True
-
-    def lane(self) -> tuple[object, ...]:
-        """Batches that may go to the same engines stand in one line; all unbound ones share one."""
-        bound = () if self.group.effect is Effect.REPEATABLE else tuple(
-            send.engine.entry.engine for send in self.sends if send.may_have_run())
-        return (self.group.locations, self.group.kinds, bound)
+        return ((group.locations is None or engine.location in group.locations)
+                and (group.kinds is None or engine.kind in group.kinds)
+                and (group.effect is Effect.REPEATABLE or not any(
+            group.effect is Effect.ONCE_ONLY or now >= send.sent + group.window - 1
+            or group.scope is Scope.LOCATION and send.engine.entry.location != engine.location
+            or group.scope is Scope.CELL and send.engine.entry.cell != engine.cell
+            for send in self.sends if send.ran)))
+
+    def bound_to(self) -> tuple[object, ...]:
+        confined = self.group.effect is not Effect.REPEATABLE and any(send.ran for send in self.sends)
+        return (self.group.locations, self.group.kinds, self.rank if confined else None)
 
     def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
               report: LoadReport | None) -> None:
-        self.over = self.over or over
-        self._gateway.ended(self, self.sends[dispatch], outcome, lasted, work, memory, report)
+        gateway, arrival, send = self._gateway, self.arrival, self.sends[dispatch]
+        now = gateway.transport.now
+        send.out, send.ran, self.over = False, outcome not in NEVER_RAN, self.over or over
+        if outcome is Outcome.TIMED_OUT and not gateway.allowed.cancel:
+            # An engine that can't be told to stop works on: it stays booked for twice as long again.
+            gateway.transport.call_later(min(2 * lasted, 20 * SECOND), lambda: gateway.free(self, send))
+        else:
+            gateway.free(self, send)
+        if outcome is Outcome.RETURNED:
+            if send.engine.health.lost:
+                send.engine.restarted(send.sent)
+            gateway.learn(self, work, memory, lasted)
+        if outcome in SPOKEN:
+            send.engine.heard(now, report)
+        alone = work / self.group.threads or gateway.pace.alone(arrival.group, arrival.cost)
+        send.engine.health.ended(now, id(send), outcome, alone)
+        if outcome in UNSTOPPED and self.key is not None:
+            gateway.turns.unsure(now, self.key)
+        if self.over:
+            gateway.finished(self)
+        elif not self.out():
+            (gateway.hold if gateway.worth_more(self) else gateway.give_up)(self)
+        gateway.line.serve(gateway.admit)
 
     def noted(self, dispatch: int, kind: NoteKind, value: float) -> None:
-        self._gateway.noted(self, self.sends[dispatch], kind, value)
-
-    def started(self, dispatch: int) -> None:
-        """A streamed answer has begun: it is the client's now, and ends with its dispatch."""
-        self._gateway.noted(self, self.sends[dispatch], NoteKind.PROGRESS, 0.0)
+        """News of a running dispatch; a streamed answer that begins is news too."""
+        send = self.sends[dispatch]
+        send.engine.health.heard(self._gateway.transport.now)
+        if kind is NoteKind.SPILL:
+            self._gateway.learn(self, 0, send.grant + value, 0)
 
     def left(self) -> None:
         self.over = True
@@ -501,253 +418,171 @@
 class Gateway:
     """One gateway: takes batches, and decides alone."""
 
-    WAIT_BOUND = 2 * SECOND  # a head held longer gets a cut grant
+    WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
 
     def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
                  kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
                  ration: RationTerms, customers: Sequence[Customer], order_pause: int, tick: int) -> None:
-        self._transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
-        self._allowed, self._cold, self._customers = allowed, cold, customers
+        self.transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
+        self.allowed, self._cold, self._customers = allowed, cold, customers
         self._margin = 2 * tick + BEAT + 1  # kept free before a time limit
-        self._peaks, self._pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
-        self._turns = Turns(order_pause)
-        self._picker, self._door = Picker(random.Random(seed), place.location), Door()
-        self._threads = 1.0  # the mean of what came
+        self._peaks, self.pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
+        self.turns, self._door, self.line = Turns(order_pause), Door(), Line()
+        self._picker = Picker(random.Random(seed), place.location)
         self._engines: dict[int, Engine] = {}
-        self._lines: dict[tuple[object, ...], list[tuple[int, Batch]]] = {}
-        self._limits: list[tuple[int, int, Batch]] = []
-        self._rank = 0
-        self._beating = False
+        self._limits: list[tuple[int, Batch]] = []
+        self._threads, self._rank, self._beating = 1.0, 0, False  # threads: the mean of what came
         if allowed.on_request:
             transport.subscribe()
 
-    # The list of engines.
-
     def listed(self, entries: Sequence[EngineEntry], whole: bool) -> None:
-        now = self._transport.now
-        if whole:
-            for engine in self._engines.values():
-                engine.listed = False
+        """A change of the list of engines, or the whole list."""
+        for engine in self._engines.values():
+            engine.listed = engine.listed and not whole
         for entry in entries:
-            engine = self._engines.get(entry.engine) or self._new_engine(entry)
+            if entry.engine not in self._engines:
+                kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
+                self._engines[entry.engine] = Engine(entry, kind, self._cold, self._place.gateways)
+            engine = self._engines[entry.engine]
             if entry.started:
                 engine.restarted(entry.started)
             engine.entry, engine.listed = entry, entry.state is EngineState.UP
-        self._serve_line(now)
+        self.line.serve(self.admit)
 
     def list_failed(self) -> None:
-        self._transport.call_later(SECOND, self._transport.subscribe)
-
-    def _new_engine(self, entry: EngineEntry) -> Engine:
-        kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
-        ramp = Ramp(self._cold, self._place.gateways, kind.cores)
-        engine = Engine(entry, Ledger(kind.memory, kind.cores, 1.0 / self._place.gateways), ramp)
-        self._engines[entry.engine] = engine
-        return engine
-
-    # The ordinary path of a batch.
+        self.transport.call_later(SECOND, self.transport.subscribe)
 
     def take(self, arrival: Arrival) -> Batch:
-        now, group = self._transport.now, self._groups[arrival.group]
-        self._rank += 1
-        batch = Batch(self, arrival, group, now, self._rank)
-        work = self._pace.work(arrival.group, arrival.cost)
-        batch.goal_at = min(arrival.time_limit, now + group.goal + int(group.goal_stretch * work / group.threads))
-        self._ration.took(now)
-        self._pace.came(now, arrival.group, arrival.cost)
+        now, group, self._rank = self.transport.now, self._groups[arrival.group], self._rank + 1
+        batch = Batch(self, arrival, group, self._rank)
+        self._ration.ring.add(now, 1, 0)
         self._threads += (group.threads - self._threads) / 100
-        if not self._door.admits(group.utility, work) or arrival.time_limit <= now + self._margin:
-            self._give_up(batch)
+        welcome = self._door.admits(group.utility, self.pace.work(arrival.group, arrival.cost))
+        if not welcome or arrival.time_limit <= now + self._margin:
+            self.give_up(batch)
             return batch
-        if group.in_order and arrival.key is not None:
-            self._turns.join(arrival.key, batch)
-        self._hold(batch)
-        if not group.in_order or arrival.key is None or self._turns.ready(now, arrival.key, batch):
-            self._queue(batch)
-            self._serve_line(now)
+        if batch.key is not None:
+            self.turns.queues[batch.key].append(batch)
+        self.hold(batch, batch.key is None or self.turns.next(now, batch.key) == (batch, 0))
         return batch
 
-    def _serve(self, batch: Batch) -> bool:
-        """Size, fit, draw, send. False: no engine fits, and the batch waits holding nothing."""
-        now, arrival = self._transport.now, batch.arrival
-        usual = self._pace.usual(now, arrival.group)
-        able = [e for e in self._engines.values() if self._able(now, batch, e, usual)]
-        if not able:
+    def admit(self, batch: Batch) -> bool:
+        """The ordinary path: size, fit, draw, send. False: none fits, and the batch waits holding nothing."""
+        now, arrival, threads = self.transport.now, batch.arrival, batch.group.threads
+        weight = self.pace.weight(arrival.group, arrival.cost)
+        able = [e for e in self._engines.values() if self._able(now, batch, e, weight)]
+        if not able or batch.sends and not self._ration.allows(now):
             return False
-        memory = min(e.ledger.memory for e in able)
-        cap = memory * min(1.0 / 3.0, self._allowed.most_grant) if memory else math.inf
+        cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
-        threads = batch.group.threads
         loads = {e: e.load(self._threads) for e in able}
         fitting = [e for e in able if e.fits(now, grant, threads, loads[e])]
         if not fitting:
+            room, freest = max(((e.ledger.room(e.level(now)), e) for e in able), key=lambda pair: pair[0])
             bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
-            if now - batch.held_since < bound:
+            cut = max(grant * self.CUT, min(grant, room))
+            if now - batch.held_since < bound or not freest.ledger.fits(cut, threads, freest.level(now)):
                 return False
-            fitting = [max(able, key=lambda e: e.ledger.room(e.level(now)))]
-            grant = max(min(grant, fitting[0].ledger.room(1.0)), grant / 4)
+            fitting, grant = [freest], cut
         engine = self._picker.draw(now, fitting, loads)
-        if self._allowed.grants or self._allowed.priorities:
-            self._transport.grant(arrival.index, round(grant), 1)
-        if batch.sends:
-            self._ration.spend(now)
-        run = self._pace.run(now, arrival.group, arrival.cost)
+        if self.allowed.grants or self.allowed.priorities:
+            self.transport.grant(arrival.index, round(grant), 1)
+        self._ration.ring.add(now, 0, len(batch.sends) > 0)
+        run = self.pace.run(now, arrival.group, arrival.cost)
         batch.sends.append(Dispatch(engine, grant, now))
         batch.held = False
-        engine.ledger.begin(grant, threads)
-        engine.ramp.sent(now, usual)
-        engine.health.sent(now, id(batch.sends[-1]), run)
-        self._transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
+        engine.ledger.change(grant, threads, 1)
+        engine.ramp.sent.add(now, weight)
+        engine.health.sent(now, id(batch.sends[-1]), run, self.pace.alone(arrival.group, arrival.cost))
+        self.transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
         return True
 
-    def _able(self, now: int, batch: Batch, engine: Engine, usual: float) -> bool:
+    def _able(self, now: int, batch: Batch, engine: Engine, weight: float) -> bool:
         """Rules 2, 3, 4, 6, and whether the engine is in health to be sent this batch."""
-        if not engine.listed or not batch.may_go(now, engine.entry) or not engine.ramp.allows(now, usual):
+        if not engine.listed or not batch.may_go(now, engine.entry) or not engine.ramp.allows(now, weight):
             return False
-        if engine.health.level >= Health.LOW:
-            return True
-        # A trial, with little at stake: one batch at a time that may run again.
-        return (batch.group.effect is Effect.REPEATABLE and not engine.ledger.running
-                and now - engine.health.tried >= SECOND)
+        # Under the low mark, a trial with little at stake: one batch at a time that may run again.
+        return engine.health.level >= Health.LOW or (
+            batch.group.effect is Effect.REPEATABLE and not engine.ledger.running
+            and now - engine.health.tried >= SECOND)
 
     def _time_out(self, now: int, batch: Batch, run: float) -> int:
-        """Until the limit, unless another dispatch could still bring the batch home in time."""
-        left = batch.arrival.time_limit - now - self._margin + BEAT
-        if batch.group.effect is Effect.ONCE_ONLY or len(batch.sends) >= self._allowed.most_dispatches:
-            return max(1, left)
-        return max(1, min(left, int(max(8 * run, (batch.goal_at - now) * 0.7))))
-
-    # The line.
-
-    def _hold(self, batch: Batch) -> None:
-        now, arrival = self._transport.now, batch.arrival
-        run = self._pace.run(now, arrival.group, arrival.cost)
-        batch.held, batch.held_since = True, now
-        batch.give_up_at = min(arrival.time_limit - self._margin, max(batch.goal_at - int(run), now + BEAT))
-        heapq.heappush(self._limits, (batch.give_up_at, batch.rank, batch))
+        """Until the limit, unless an early end would be conclusive and leave time for another dispatch."""
+        left, early = batch.arrival.time_limit - now - self._margin + BEAT, (batch.goal_at - now) * 0.7
+        last = batch.group.effect is Effect.ONCE_ONLY or len(batch.sends) >= self.allowed.most_dispatches
+        return max(1, left if last or 4 * run > early else min(left, int(early)))
+
+    def hold(self, batch: Batch, in_turn: bool = True) -> None:
+        """Into the line by rank of arrival; a batch whose turn has not come waits beside it."""
+        now, arrival, batch.held = self.transport.now, batch.arrival, True
+        run, batch.held_since = int(self.pace.run(now, arrival.group, arrival.cost)), now
+        batch.give_up_at = min(arrival.time_limit - self._margin, max(batch.goal_at - run, now + BEAT))
+        heapq.heappush(self._limits, (batch.give_up_at, batch))
         if not self._beating:
             self._beating = True
-            self._transport.call_later(BEAT, self._beat)
-
-    def _queue(self, batch: Batch) -> None:
-        heapq.heappush(self._lines.setdefault(batch.lane(), []), (batch.rank, batch))
-
-    def _serve_line(self, now: int) -> None:
-        """Freed room goes to the line's head, one batch at a time, in the order of arrival."""
-        for lane in list(self._lines):
-            line = self._lines[lane]
-            while line and (not line[0][1].held or self._serve(line[0][1])):
-                heapq.heappop(line)
-            if not line:
-                del self._lines[lane]
+            self.transport.call_later(BEAT, self._beat)
+        if in_turn:
+            self.line.join(batch)
+            self.line.serve(self.admit)
 
     def _beat(self) -> None:
-        now = self._transport.now
-        paces = [p for p in (e.health.pace(now) for e in self._engines.values() if e.listed) if p > 0.0]
-        fleet = median(paces) if paces else 0.0
-        for engine in self._engines.values():
+        now, engines = self.transport.now, self._engines.values()
+        fleet = median([e.health.pace for e in engines if e.listed and e.health.pace] or [0.0])
+        for engine in engines:
             before = engine.health.level
             engine.health.look(now, fleet)
-            engine.ledger.learn(engine.health.pace(now))
+            engine.ledger.learn(engine.health.pace)
             if (before < Health.LOW) != (engine.health.level < Health.LOW):
                 state = "held back" if engine.health.level < Health.LOW else "back in use"
-                self._transport.log(f"engine {engine.entry.name} {state}")
-        self._serve_line(now)
-        heads = [line[0][1] for line in self._lines.values()]
-        self._door.look(now, max((now - head.held_since for head in heads), default=0))
+                self.transport.log(f"engine {engine.entry.name} {state}")
+        self.line.serve(self.admit)
+        self._door.look(now, self.line.wait(now))
         while self._limits and self._limits[0][0] <= now:
-            batch = heapq.heappop(self._limits)[2]
-            if batch.held and not batch.over and batch.give_up_at <= now:
-                self._give_up(batch)
-        self._beating = bool(self._limits) or any(e.ledger.running for e in self._engines.values())
+            batch = heapq.heappop(self._limits)[1]
+            if batch.held and batch.give_up_at <= now:
+                self.give_up(batch)
+        self._beating = bool(self._limits) or any(e.ledger.running for e in engines)
         if self._beating:
-            self._transport.call_later(BEAT, self._beat)
-
-    # What happens to a batch.
-
-    def ended(self, batch: Batch, send: Dispatch, outcome: Outcome, lasted: int, work: int, memory: float,
-              report: LoadReport | None) -> None:
-        now, arrival, engine = self._transport.now, batch.arrival, send.engine
-        send.out, send.outcome = False, outcome
-        if outcome is Outcome.TIMED_OUT and not self._allowed.cancel:
-            # The engine works on at what was given up: its memory stays booked for as long again.
-            self._transport.call_later(
-                min(2 * lasted, 20 * SECOND), lambda: self._release(engine, send.grant, batch.group.threads))
-        else:
-            engine.ledger.end(send.grant, batch.group.threads)
-        if outcome not in (Outcome.TIMED_OUT, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.CANCELLED, Outcome.RESET):
-            engine.heard(now, report)
-        if outcome is Outcome.RETURNED:
-            if engine.lost:
-                engine.lost = False
-                engine.restarted(send.sent)
-            if work:
-                self._pace.learn(now, arrival.group, arrival.cost, work, lasted)
-            if memory:
-                self._peaks.learn(now, arrival.group, arrival.tables, arrival.memory, memory)
-            if batch.group.is_load:
-                self._peaks.loaded(arrival.tables)
-        elif outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
-            engine.lost = True
-        work = work or int(self._pace.work(arrival.group, arrival.cost))
-        engine.health.ended(now, id(send), outcome, lasted, work / batch.group.threads)
-        if outcome in UNSTOPPED and batch.group.in_order and arrival.key is not None:
-            self._turns.unsure(now, arrival.key, batch)
-        if not batch.over and not batch.out():
-            self._try_again(batch)
-        elif batch.over:
-            self.finished(batch)
-        self._serve_line(now)
-
-    def _release(self, engine: Engine, grant: float, threads: int) -> None:
-        engine.ledger.end(grant, threads)
-        self._serve_line(self._transport.now)
-
-    def _try_again(self, batch: Batch) -> None:
-        now, arrival, group = self._transport.now, batch.arrival, batch.group
-        run = self._pace.run(now, arrival.group, arrival.cost)
-        useful = batch.goal_at if group.late_utility <= 0.0 else arrival.time_limit - self._margin
-        if (len(batch.sends) < self._allowed.most_dispatches and self._ration.allows(now)
-                and now + run / 2 < useful
-                and any(e.listed and batch.may_go(now, e.entry) for e in self._engines.values())):
-            self._hold(batch)
-            self._queue(batch)
-        else:
-            self._give_up(batch)
-
-    def _give_up(self, batch: Batch) -> None:
+            self.transport.call_later(BEAT, self._beat)
+
+    def learn(self, batch: Batch, work: int, memory: float, lasted: int) -> None:
+        now, arrival = self.transport.now, batch.arrival
+        if work:
+            self.pace.learn(now, arrival.group, arrival.cost, work, lasted)
+        if memory:
+            self._peaks.learn(now, arrival.group, arrival.tables, arrival.memory, memory)
+        if batch.group.is_load and lasted:
+            self._peaks.loaded(arrival.tables)
+
+    def free(self, batch: Batch, send: Dispatch) -> None:
+        send.engine.ledger.change(-send.grant, -batch.group.threads, -1)
+        self.line.serve(self.admit)
+
+    def worth_more(self, batch: Batch) -> bool:
+        """Whether another dispatch is allowed and could bring the batch home while it earns something."""
+        now, arrival = self.transport.now, batch.arrival
+        until = arrival.time_limit - self._margin if batch.group.late_utility else batch.goal_at
+        return (len(batch.sends) < self.allowed.most_dispatches and self._ration.allows(now)
+                and now + self.pace.run(now, arrival.group, arrival.cost) / 2 < until
+                and any(e.listed and batch.may_go(now, e.entry) for e in self._engines.values()))
+
+    def give_up(self, batch: Batch) -> None:
         """The final answer, at once; a pushback only where trying again does no harm."""
-        batch.over, batch.held = True, False
+        batch.over = True
         if batch.harmless():
-            wait = min(self.RETRY_AFTER, self._allowed.longest_retry_time) if self._allowed.retry_times else 0
-            self._transport.push_back(batch.arrival.index, wait)
+            wait = min(self.RETRY_AFTER, self.allowed.longest_retry_time) if self.allowed.retry_times else 0
+            self.transport.push_back(batch.arrival.index, wait)
         else:
-            self._transport.error(batch.arrival.index)
+            self.transport.error(batch.arrival.index)
         self.finished(batch)
 
     def finished(self, batch: Batch) -> None:
-        """It is over: the next batch of its key may have its turn."""
+        """It is over: the next batch of its key has its turn, after a rest where one is due."""
         batch.held = False
-        key = batch.arrival.key
-        if not batch.group.in_order or key is None:
-            return
-        following, rest = self._turns.next(self._transport.now, key)
-        if rest:
-            self._transport.call_later(rest, lambda: self.finished(batch))
-        elif following is not None and following.held and not following.sends:
-            self._queue(following)
-            self._serve_line(self._transport.now)
-
-    def noted(self, batch: Batch, send: Dispatch, kind: NoteKind, value: float) -> None:
-        now, arrival = self._transport.now, batch.arrival
-        send.engine.health.heard(now)
-        if kind is NoteKind.SPILL:
-            self._peaks.learn(now, arrival.group, arrival.tables, arrival.memory, send.grant + value)
-
-    def probed(self, engine: int, outcome: Outcome, report: LoadReport | None) -> None:
-        if outcome is Outcome.RETURNED:
-            self._engines[engine].heard(self._transport.now, report)
-
-    def heard(self, sender: int, data: bytes) -> None:
-        """A peer's message; none is sent yet."""
+        if batch.key is not None:
+            following, rest = self.turns.next(self.transport.now, batch.key)
+            if rest:
+                self.transport.call_later(rest, lambda: self.finished(batch))
+            elif following is not None and following.held and not following.sends:
+                self.hold(following)
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -29,6 +29,8 @@
 
 
 NEVER_RAN = frozenset({Outcome.PUSHED_BACK, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
+UNSTOPPED = frozenset({Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED})  # may be running still
+SPOKEN = frozenset({Outcome.RETURNED, Outcome.ERRORED, Outcome.PUSHED_BACK})  # the engine's own word
 
 
 class Effect(Enum):
--- /dev/null
+++ b/vanerelay/measure.py
@@ -0,0 +1,58 @@
+"""Plain arithmetic over what is observed: sums over time and least squares. Nothing here chooses."""
+from __future__ import annotations
+
+import math
+
+
+class Ring:
+    """Sums over a span of time, in fixed buckets that are used again in turn."""
+
+    def __init__(self, span: int, fields: int, buckets: int = 10) -> None:
+        self._width = max(1, -(-span // buckets))
+        self._sums = [[0.0] * fields for _ in range(buckets + 1)]
+        self._stamps = [-1] * (buckets + 1)
+
+    def add(self, now: int, *values: float) -> None:
+        stamp = now // self._width
+        slot = stamp % len(self._sums)
+        if self._stamps[slot] != stamp:
+            self._stamps[slot], self._sums[slot] = stamp, [0.0] * len(values)
+        self._sums[slot] = [a + b for a, b in zip(self._sums[slot], values, strict=True)]
+
+    def total(self, now: int, field: int, short: bool = False) -> float:
+        """At least the whole span is summed; with `short`, never more than the span."""
+        oldest = now // self._width - len(self._sums) + (3 if short else 1)
+        return sum(s[field] for s, stamp in zip(self._sums, self._stamps, strict=True) if stamp >= oldest)
+
+
+class Estimate:
+    """Mends told figures: least squares of the log of what was needed on the log of what was told."""
+
+    def __init__(self, memory: int, faith: float) -> None:
+        """About the last `memory` pairs count; `faith` pairs' worth of trust goes to the told figure."""
+        self._memory, self._faith, self.seen = memory, faith, 0
+        self._x = self._y = self._xx = self._xy = self._yy = 0.0
+
+    def learn(self, told: float, real: float) -> None:
+        self.seen += 1
+        part = 1.0 / min(self.seen, self._memory)
+        dx, dy = math.log(max(told, 1.0)) - self._x, math.log(max(real, 1.0)) - self._y
+        self._x, self._y = self._x + part * dx, self._y + part * dy
+        self._xx += part * ((1 - part) * dx * dx - self._xx)
+        self._xy += part * ((1 - part) * dx * dy - self._xy)
+        self._yy += part * ((1 - part) * dy * dy - self._yy)
+
+    def slope(self) -> float:
+        faith = self._faith / (self.seen + self._faith)
+        return min(1.0, max(0.0, (self._xy + faith) / (self._xx + faith)))
+
+    def log(self, told: float) -> float:
+        """The log of the figure to expect; of the told one where nothing was learned."""
+        x = math.log(max(told, 1.0))
+        return self._y + self.slope() * (x - self._x) if self.seen else x
+
+    def mean(self) -> float:
+        return math.exp(self._y + self._yy / 2) if self.seen else 0.0
+
+    def spread(self) -> float:
+        return math.sqrt(max(0.0, self._yy - self.slope() * self._xy)) if self.seen > 1 else 0.0
