--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,9 +24,10 @@
 )
 
 GROUP = ServiceGroup(
-    "g", SECOND, 2.0, 10 * SECOND, 1.0, 0.0, Effect.REPEATABLE, Scope.ALL, 5 * SECOND, False, None, None, 1,
-    False, False)
-ALLOWED = Allowances(3, False, False, False, False, True, SECOND, True, 0.4, False, True, Shortage.WAIT, False)
+    "g", SECOND, 2.0, 10 * SECOND, 1.0, 0.0, Effect.REPEATABLE, Scope.ALL, 5 * SECOND, False, None, None,
+    1, False, False)
+ALLOWED = Allowances(
+    3, False, False, False, False, True, SECOND, True, 0.4, False, True, Shortage.WAIT, False)
 COLD = ColdStart(0.3, 10 * SECOND, 3.0, 2 * SECOND)
 
 
@@ -40,8 +41,8 @@
         other = dataclasses.replace(GROUP, threads=4)
         self.gateway = Gateway(
             self, 7, [self.group, other], [MachineKind(16, 32000.0)] * 2, Place(0, gateways, 0),
-            dataclasses.replace(ALLOWED, **(allowed or {})), COLD, ration or RationTerms(0, 0, 0.0), [], pause,
-            50)
+            dataclasses.replace(ALLOWED, **(allowed or {})), COLD, ration or RationTerms(0, 0, 0.0), [],
+            pause, 50)
         self.entries = [entry(i) for i in range(engines)]
         self.gateway.listed(self.entries, True)
 
--- a/vanerelay/adapter/instance.py
+++ b/vanerelay/adapter/instance.py
@@ -35,7 +35,6 @@
         self._free: list[int] = []
         self._engines: dict[str, int] = {}
         self._engine_ids: list[str] = []
-        self._tables: dict[int, int] = {}
         self._timers: dict[int, Callable[[], None]] = {}
         self._timer = 0
         self._reported = wire.report_names(profile)
@@ -94,7 +93,6 @@
         else:
             self._ids[index] = request
         bits = int(e.get("bits") or 0)
-        tables = self._tables.setdefault(e.get("tableGroup", 0), len(self._tables))
         arrival = Arrival(
             index=index,
             group=int(e.get("lane", 0)),
@@ -103,7 +101,7 @@
             time_limit=wire.down(e["clientDeadlineUs"]),
             cost=wire.up(e.get("guessUs") or 0) if bits & 1 else 0,
             memory=float(e.get("memMb") or 0.0),
-            tables=tables,
+            tables=int(e.get("tableGroup") or 0),
             is_retry=bool(bits & 2),
         )
         held = self._held[request] = Held(index)
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -10,10 +10,11 @@
 import heapq
 import math
 import random
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from statistics import median
+from zlib import crc32
 
 from vanerelay.interface import (
     MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, ColdStart, Customer, Effect,
@@ -188,7 +189,7 @@
 class Engine:
     """One engine as this gateway knows it."""
 
-    SPARE = 0.6  # filled less than this by all gateways, it may be sent more than the slice
+    SPARE = 0.85  # filled less than this by all gateways, it may be sent more than the slice
 
     def __init__(self, entry: EngineEntry, kind: MachineKind, cold: ColdStart, gateways: int) -> None:
         self.entry, self.health, self.listed = entry, Health(), True
@@ -196,6 +197,7 @@
         self.ramp = Ramp(cold, gateways, kind.cores)
         self._report: LoadReport | None = None
         self._own_then = 0.0
+        self.locks: Counter[int] = Counter()  # own loads out, by table group
 
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
@@ -230,17 +232,28 @@
     """Draws among engines that fit: the less loaded and the sounder, the likelier."""
 
     SHARP = 6.0
+    APART = 0.15  # and one on which loads of the table group are to be met, that much less likely
     NEAR = 1.3  # an engine of the own location is this much likelier: crossing costs a little
 
     def __init__(self, chance: random.Random, location: int) -> None:
         self._chance, self._location = chance, location
 
-    def draw(self, now: int, engines: Sequence[Engine], loads: dict[Engine, float]) -> Engine:
+    def draw(self, now: int, engines: Sequence[Engine], loads: dict[Engine, float], batch: Batch) -> Engine:
         weights = [
-            (self.NEAR if e.entry.location == self._location else 1.0) * e.ledger.cores
+            (self.NEAR if e.entry.location == self._location else 1.0) * e.ledger.cores * self._apart(e, batch)
             * math.exp(-self.SHARP * min(loads[e] / max(0.05, e.level(now)), 9.0)) for e in engines]
         return self._chance.choices(engines, weights)[0]
 
+    def _apart(self, engine: Engine, batch: Batch) -> float:
+        """A load holds its table group on its engine. So that others need not stand still behind it, all
+        gateways send loads of a table group rather to one half of the engines, told by hash, and what
+        would wait to the other. Harms where so few engines are left that either half is crowded."""
+        group, tables = batch.group, batch.arrival.tables
+        if not group.is_load and not group.waits_for_loads:
+            return 1.0
+        home = crc32(f"{engine.entry.name}/{tables}".encode()) & 1
+        return (1.0 if group.is_load == bool(home) else self.APART) * (self.APART if engine.locks[tables] else 1.0)
+
 
 class Door:
     """Under overload (a line whose head never waits less than TARGET) turns away what earns least for its
@@ -485,7 +498,7 @@
             if now - batch.held_since < bound or not freest.ledger.fits(cut, threads, freest.level(now)):
                 return False
             fitting, grant = [freest], cut
-        engine = self._picker.draw(now, fitting, loads)
+        engine = self._picker.draw(now, fitting, loads, batch)
         if self.allowed.grants or self.allowed.priorities:
             self.transport.grant(arrival.index, round(grant), 1)
         self._ration.ring.add(now, 0, len(batch.sends) > 0)
@@ -493,6 +506,7 @@
         batch.sends.append(Dispatch(engine, grant, now))
         batch.held = False
         engine.ledger.change(grant, threads, 1)
+        engine.locks[arrival.tables] += batch.group.is_load
         engine.ramp.sent.add(now, weight)
         engine.health.sent(now, id(batch.sends[-1]), run, self.pace.alone(arrival.group, arrival.cost))
         self.transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
@@ -557,6 +571,7 @@
 
     def free(self, batch: Batch, send: Dispatch) -> None:
         send.engine.ledger.change(-send.grant, -batch.group.threads, -1)
+        send.engine.locks[batch.arrival.tables] -= batch.group.is_load
         self.line.serve(self.admit)
 
     def worth_more(self, batch: Batch) -> bool:
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -180,7 +180,8 @@
 
 @dataclass(slots=True)
 class Arrival:
-    """A batch as it comes in; cost is 0 and memory 0 where no estimate was told."""
+    """A batch as it comes in; cost is 0 and memory 0 where no estimate was told. The number of its table
+    group is the same at every gateway."""
 
     index: int
     group: int
