Slices are not lent: lending paid on no deployment

Conclusion: a gateway with more traffic than its slice is not helped by borrowing on reports that are late; the departure is taken out again.

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -107,9 +107,9 @@
         whole = self.cores * self.width * self._share * level
         return grant <= self.room(level) and self.threads + threads <= whole
 
-    def part(self, grant: float = 0.0, threads: int = 0) -> float:
-        """The part of the whole engine that this gateway's dispatches fill, with one more."""
-        return max((self.granted + grant) / self.memory, (self.threads + threads) / (self.cores * self.width))
+    def part(self) -> float:
+        """The part of the whole engine that this gateway's dispatches fill."""
+        return max(self.granted / self.memory, self.threads / (self.cores * self.width))
 
     def learn(self, pace: float) -> None:
         if pace > 0.0:
@@ -189,8 +189,6 @@
 class Engine:
     """One engine as this gateway knows it."""
 
-    SPARE = 0.85  # filled less than this by all gateways, it may be sent more than the slice
-
     def __init__(self, entry: EngineEntry, kind: MachineKind, cold: ColdStart, gateways: int) -> None:
         self.entry, self.health, self.listed = entry, Health(), True
         self.ledger = Ledger(kind.memory, kind.cores, 1.0 / gateways)
@@ -221,11 +219,8 @@
             shares.append(seen.running * threads / (self.ledger.cores * self.ledger.width))
         return max(0.0, max(shares, default=self._own_then) + own - self._own_then)
 
-    def fits(self, now: int, grant: float, threads: int, load: float) -> bool:
-        """Whole grants fit the slice; or the engine, reported under-filled, lends what others don't use."""
-        return not self.ledger.running or self.ledger.fits(grant, threads, self.level(now)) or (
-            self._report is not None
-            and load + self.ledger.part(grant, threads) - self.ledger.part() <= self.level(now) * self.SPARE)
+    def fits(self, now: int, grant: float, threads: int) -> bool:
+        return not self.ledger.running or self.ledger.fits(grant, threads, self.level(now))
 
 
 class Picker:
@@ -238,10 +233,10 @@
     def __init__(self, chance: random.Random, location: int) -> None:
         self._chance, self._location = chance, location
 
-    def draw(self, now: int, engines: Sequence[Engine], loads: dict[Engine, float], batch: Batch) -> Engine:
+    def draw(self, now: int, engines: Sequence[Engine], batch: Batch, threads: float) -> Engine:
         weights = [
-            (self.NEAR if e.entry.location == self._location else 1.0) * e.ledger.cores * self._apart(e, batch)
-            * math.exp(-self.SHARP * min(loads[e] / max(0.05, e.level(now)), 9.0)) for e in engines]
+            (self.NEAR if e.entry.location == self._location else 1.0) * self._apart(e, batch) * e.ledger.cores
+            * math.exp(-self.SHARP * min(e.load(threads) / max(0.05, e.level(now)), 9.0)) for e in engines]
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
@@ -252,7 +247,7 @@
         if not group.is_load and not group.waits_for_loads:
             return 1.0
         home = crc32(f"{engine.entry.name}/{tables}".encode()) & 1
-        return (1.0 if group.is_load == bool(home) else self.APART) * (self.APART if engine.locks[tables] else 1.0)
+        return self.APART ** ((group.is_load != bool(home)) + (engine.locks[tables] > 0))
 
 
 class Door:
@@ -489,8 +484,7 @@
             return False
         cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
-        loads = {e: e.load(self._threads) for e in able}
-        fitting = [e for e in able if e.fits(now, grant, threads, loads[e])]
+        fitting = [e for e in able if e.fits(now, grant, threads)]
         if not fitting:
             room, freest = max(((e.ledger.room(e.level(now)), e) for e in able), key=lambda pair: pair[0])
             bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
@@ -498,7 +492,7 @@
             if now - batch.held_since < bound or not freest.ledger.fits(cut, threads, freest.level(now)):
                 return False
             fitting, grant = [freest], cut
-        engine = self._picker.draw(now, fitting, loads, batch)
+        engine = self._picker.draw(now, fitting, batch, self._threads)
         if self.allowed.grants or self.allowed.priorities:
             self.transport.grant(arrival.index, round(grant), 1)
         self._ration.ring.add(now, 0, len(batch.sends) > 0)
