Batches that may stand behind a load no longer tell an engine's pace

Cause: look-ups waiting behind loads looked like crowding and silence, so slices shrank and engines were held back while they had room.

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -144,7 +144,8 @@
 
 
 class Health:
-    """One figure for an engine, from 0 (silent or lost) to 1 (sound), from what its answers show."""
+    """One figure for an engine, from 0 (silent or lost) to 1 (sound), from what its answers show. Batches that
+    may stand behind a load are sent with an ideal run of 0: they tell nothing of its pace, and half of silence."""
 
     QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
     PATIENCE = 3.0  # a dispatch out for this many times its expected run is overdue
@@ -165,23 +166,25 @@
         self._heard, self._missed, self.lost = now, 0, False
 
     def ended(self, now: int, key: int, outcome: Outcome, ideal: float) -> None:
-        sent, patience, _ = self._out.pop(key)
+        sent, patience, alone = self._out.pop(key)
+        ideal = (ideal or alone) * (alone > 0.0)
         if outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
             self.lost, self.level = True, 0.0
         elif outcome in (Outcome.ERRORED, Outcome.PUSHED_BACK):
             self._ring.add(now, 1, 1, 0, 0)
         elif outcome in (Outcome.TIMED_OUT, Outcome.RETURNED):
             self._missed += outcome is Outcome.TIMED_OUT and now > sent + patience
-            self._ring.add(now, 1, 0, now - sent, ideal)
+            self._ring.add(now, 1, 0, (now - sent) * (ideal > 0.0), ideal)
 
     def look(self, now: int, fleet_pace: float) -> None:
         ends, errors, lasted, ideal = (self._ring.total(now, field) for field in range(4))
         overdue = [(now - sent, run) for sent, patience, run in self._out.values() if now > sent + patience]
-        lasted, ideal = lasted + sum(age for age, _ in overdue), ideal + sum(run for _, run in overdue)
+        lasted, ideal = lasted + sum(age for age, run in overdue if run), ideal + sum(run for _, run in overdue)
         self.pace = lasted / ideal if ideal else 0.0  # how many times longer than alone its batches run
         slow = max(1.0, self.pace / (1.5 * fleet_pace)) if fleet_pace else 1.0
         target = (1.0 - errors / (ends + 1.0)) ** 3 / slow
-        if self.lost or now - self._heard > self.QUIET and self._missed + len(overdue) >= self.OVERDUE:
+        silent = self._missed + sum(1.0 if run else 0.5 for _, run in overdue) >= self.OVERDUE
+        if self.lost or silent and now - self._heard > self.QUIET:
             target = 0.0
         self.level, self._looked = min(target, self.level + self.RISE * (now - self._looked) / SECOND), now
 
@@ -401,8 +404,7 @@
             gateway.learn(self, work, memory, lasted)
         if outcome in SPOKEN:
             send.engine.heard(now, report)
-        alone = work / self.group.threads or gateway.pace.alone(arrival.group, arrival.cost)
-        send.engine.health.ended(now, id(send), outcome, alone)
+        send.engine.health.ended(now, id(send), outcome, work / self.group.threads)
         if outcome in UNSTOPPED and self.key is not None:
             gateway.turns.unsure(now, self.key)
         if self.over:
@@ -502,7 +504,9 @@
         engine.ledger.change(grant, threads, 1)
         engine.locks[arrival.tables] += batch.group.is_load
         engine.ramp.sent.add(now, weight)
-        engine.health.sent(now, id(batch.sends[-1]), run, self.pace.alone(arrival.group, arrival.cost))
+        locked = batch.group.is_load or batch.group.waits_for_loads
+        alone = 0.0 if locked else self.pace.alone(arrival.group, arrival.cost)
+        engine.health.sent(now, id(batch.sends[-1]), run, alone)
         self.transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
         return True
 
