--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -21,7 +21,7 @@
     EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
     ServiceGroup, Transport,
 )
-from vanerelay.measure import Estimate, Ring
+from vanerelay.measure import Estimate, Ring, quantile
 
 ANSWERS, FAITH = 200, 2.0  # answers an estimate learns from; answers' worth of trust in the told figure
 BEAT = 20 * MILLISECOND  # how often the line, the limits and the engines' health are looked over
@@ -73,8 +73,7 @@
 
     def work(self, group: int, told: int) -> float:
         """The work of all threads of a batch."""
-        known = told or self._told[group].seen
-        return math.exp(self._told[group].log(told)) if known else self._groups[group].goal / 4
+        return self._told[group].value(told) or self._groups[group].goal / 4
 
     def weight(self, group: int, told: int) -> float:
         """For rule 4, where a batch weighs its group's usual work: never less than its own."""
@@ -144,8 +143,8 @@
 
 
 class Health:
-    """One figure for an engine, from 0 (silent or lost) to 1 (sound), from what its answers show. Batches that
-    may stand behind a load are sent with an ideal run of 0: they tell nothing of its pace, and half of silence."""
+    """One figure for an engine, from 0 (silent or lost) to 1 (sound), from what its answers show. Batches
+    that may stand behind a load come with an ideal run of 0: no sign of its pace, half a one of silence."""
 
     QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
     PATIENCE = 3.0  # a dispatch out for this many times its expected run is overdue
@@ -178,12 +177,12 @@
 
     def look(self, now: int, fleet_pace: float) -> None:
         ends, errors, lasted, ideal = (self._ring.total(now, field) for field in range(4))
-        overdue = [(now - sent, run) for sent, patience, run in self._out.values() if now > sent + patience]
-        lasted, ideal = lasted + sum(age for age, run in overdue if run), ideal + sum(run for _, run in overdue)
+        late = [(now - sent, run) for sent, patience, run in self._out.values() if now > sent + patience]
+        lasted, ideal = lasted + sum(age for age, run in late if run), ideal + sum(run for _, run in late)
         self.pace = lasted / ideal if ideal else 0.0  # how many times longer than alone its batches run
         slow = max(1.0, self.pace / (1.5 * fleet_pace)) if fleet_pace else 1.0
         target = (1.0 - errors / (ends + 1.0)) ** 3 / slow
-        silent = self._missed + sum(1.0 if run else 0.5 for _, run in overdue) >= self.OVERDUE
+        silent = self._missed + sum(1.0 if run else 0.5 for _, run in late) >= self.OVERDUE
         if self.lost or silent and now - self._heard > self.QUIET:
             target = 0.0
         self.level, self._looked = min(target, self.level + self.RISE * (now - self._looked) / SECOND), now
@@ -197,8 +196,7 @@
         self.ledger = Ledger(kind.memory, kind.cores, 1.0 / gateways)
         self.ramp = Ramp(cold, gateways, kind.cores)
         self._report: LoadReport | None = None
-        self._own_then = 0.0
-        self.locks: Counter[int] = Counter()  # own loads out, by table group
+        self._own_then, self.locks = 0.0, Counter[int]()  # own loads out, by table group
 
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
@@ -217,9 +215,7 @@
         seen, own = self._report, self.ledger.part()
         if seen is None:
             return own
-        shares = [s for s in (seen.cores_busy, seen.memory_granted, seen.disks_busy) if s is not None]
-        if seen.running is not None:
-            shares.append(seen.running * threads / (self.ledger.cores * self.ledger.width))
+        shares = seen.shares(threads / (self.ledger.cores * self.ledger.width))
         return max(0.0, max(shares, default=self._own_then) + own - self._own_then)
 
     def fits(self, now: int, grant: float, threads: int) -> bool:
@@ -234,23 +230,21 @@
     NEAR = 1.3  # an engine of the own location is this much likelier: crossing costs a little
 
     def __init__(self, chance: random.Random, location: int) -> None:
-        self._chance, self._location = chance, location
+        self._chance, self._here = chance, location
 
     def draw(self, now: int, engines: Sequence[Engine], batch: Batch, threads: float) -> Engine:
         weights = [
-            (self.NEAR if e.entry.location == self._location else 1.0) * self._apart(e, batch) * e.ledger.cores
+            e.ledger.cores * self._apart(e, batch) * (self.NEAR if e.entry.location == self._here else 1.0)
             * math.exp(-self.SHARP * min(e.load(threads) / max(0.05, e.level(now)), 9.0)) for e in engines]
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
-        """A load holds its table group on its engine. So that others need not stand still behind it, all
-        gateways send loads of a table group rather to one half of the engines, told by hash, and what
-        would wait to the other. Harms where so few engines are left that either half is crowded."""
+        """A load holds its table group on its engine: all gateways lean to send loads of a table group to one
+        half of the engines, told by hash, and what would wait for them to the other. Harms if few remain."""
         group, tables = batch.group, batch.arrival.tables
-        if not group.is_load and not group.waits_for_loads:
-            return 1.0
-        home = crc32(f"{engine.entry.name}/{tables}".encode()) & 1
-        return self.APART ** ((group.is_load != bool(home)) + (engine.locks[tables] > 0))
+        home = crc32(f"{engine.entry.name}/{tables}".encode()) & 1 == 1
+        met = (group.is_load != home) + (engine.locks[tables] > 0)
+        return self.APART ** met if group.meets_loads() else 1.0
 
 
 class Door:
@@ -277,11 +271,7 @@
         excess = min(3.0, self._least / self.TARGET - 1.0)
         self.share = min(self.MOST, max(0.0, self.share + self.STEP * excess))
         self._least, self._until = math.inf, now + self.EVERY
-        left = self.share * sum(work for _, work in self._came)
-        for density, work in sorted(self._came):
-            self._bar, left = density, left - work
-            if left < 0:
-                break
+        self._bar = quantile(self._came, self.share)
 
 
 class Ration:
@@ -390,8 +380,7 @@
 
     def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
               report: LoadReport | None) -> None:
-        gateway, arrival, send = self._gateway, self.arrival, self.sends[dispatch]
-        now = gateway.transport.now
+        gateway, send, now = self._gateway, self.sends[dispatch], self._gateway.transport.now
         send.out, send.ran, self.over = False, outcome not in NEVER_RAN, self.over or over
         if outcome is Outcome.TIMED_OUT and not gateway.allowed.cancel:
             # An engine that can't be told to stop works on: it stays booked for twice as long again.
@@ -447,7 +436,6 @@
             transport.subscribe()
 
     def listed(self, entries: Sequence[EngineEntry], whole: bool) -> None:
-        """A change of the list of engines, or the whole list."""
         for engine in self._engines.values():
             engine.listed = engine.listed and not whole
         for entry in entries:
@@ -504,8 +492,7 @@
         engine.ledger.change(grant, threads, 1)
         engine.locks[arrival.tables] += batch.group.is_load
         engine.ramp.sent.add(now, weight)
-        locked = batch.group.is_load or batch.group.waits_for_loads
-        alone = 0.0 if locked else self.pace.alone(arrival.group, arrival.cost)
+        alone = 0.0 if batch.group.meets_loads() else self.pace.alone(arrival.group, arrival.cost)
         engine.health.sent(now, id(batch.sends[-1]), run, alone)
         self.transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
         return True
@@ -546,8 +533,8 @@
             engine.health.look(now, fleet)
             engine.ledger.learn(engine.health.pace)
             if (before < Health.LOW) != (engine.health.level < Health.LOW):
-                state = "held back" if engine.health.level < Health.LOW else "back in use"
-                self.transport.log(f"engine {engine.entry.name} {state}")
+                news = "back in use" if before < Health.LOW else "held back"
+                self.transport.log(f"engine {engine.entry.name} {news}")
         self.line.serve(self.admit)
         self._door.look(now, self.line.wait(now))
         while self._limits and self._limits[0][0] <= now:
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -89,6 +89,9 @@
     is_load: bool
     waits_for_loads: bool
 
+    def meets_loads(self) -> bool:
+        return self.is_load or self.waits_for_loads
+
 
 @dataclass(frozen=True, slots=True)
 class MachineKind:
@@ -177,6 +180,12 @@
     memory_granted: float | None = None
     disks_busy: float | None = None
 
+    def shares(self, one: float) -> list[float]:
+        """All that was told as a share of the engine, where `one` is the share that a batch takes."""
+        told = [self.cores_busy, self.memory_granted, self.disks_busy]
+        told.append(None if self.running is None else self.running * one)
+        return [share for share in told if share is not None]
+
 
 @dataclass(slots=True)
 class Arrival:
--- a/vanerelay/measure.py
+++ b/vanerelay/measure.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 
 class Ring:
@@ -51,8 +52,23 @@
         x = math.log(max(told, 1.0))
         return self._y + self.slope() * (x - self._x) if self.seen else x
 
+    def value(self, told: float) -> float:
+        """The figure to expect; 0 where nothing was told or learned."""
+        return math.exp(self.log(told)) if told or self.seen else 0.0
+
     def mean(self) -> float:
         return math.exp(self._y + self._yy / 2) if self.seen else 0.0
 
     def spread(self) -> float:
         return math.sqrt(max(0.0, self._yy - self.slope() * self._xy)) if self.seen > 1 else 0.0
+
+
+def quantile(pairs: Iterable[tuple[float, float]], part: float) -> float:
+    """The value of (value, weight) pairs under which this part of the whole weight lies."""
+    ranked = sorted(pairs)
+    left = part * sum(weight for _, weight in ranked)
+    for value, weight in ranked:
+        left -= weight
+        if left < 0:
+            return value
+    return ranked[-1][0] if ranked else 0.0
