--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -248,14 +248,15 @@
 
 
 class Door:
-    """Under overload (a line whose head never waits less than TARGET) turns away what earns least for its
-    work, before it has cost anything. May harm a group whose batches all earn little for their work."""
+    """Under overload (a line whose head keeps waiting) turns away what earns least for its work, before it has
+    cost anything: the longer the wait, the more. May harm a group that earns little for all its work."""
 
-    TARGET = 300 * MILLISECOND
-    EVERY, STEP, MOST = 200 * MILLISECOND, 0.05, 0.95  # the part of the offered work shed moves by a step
+    FROM, OVER = 0.1, 0.5  # waits in parts of the shortest goal: nothing is shed at first, all past the sum
+    EVERY, MOST = 200 * MILLISECOND, 0.95
     KEPT = 200  # arrivals that stand for the traffic
 
-    def __init__(self) -> None:
+    def __init__(self, goal: int) -> None:
+        self._goal = goal
         self._came: deque[tuple[float, float]] = deque(maxlen=self.KEPT)
         self._least, self._until = math.inf, 0
         self.share, self._bar = 0.0, 0.0
@@ -268,8 +269,7 @@
         self._least = min(self._least, wait)
         if now < self._until:
             return
-        excess = min(3.0, self._least / self.TARGET - 1.0)
-        self.share = min(self.MOST, max(0.0, self.share + self.STEP * excess))
+        self.share = min(self.MOST, max(0.0, (self._least / self._goal - self.FROM) / self.OVER))
         self._least, self._until = math.inf, now + self.EVERY
         self._bar = quantile(self._came, self.share)
 
@@ -427,7 +427,7 @@
         self.allowed, self._cold, self._customers = allowed, cold, customers
         self._margin = 2 * tick + BEAT + 1  # kept free before a time limit
         self._peaks, self.pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
-        self.turns, self._door, self.line = Turns(order_pause), Door(), Line()
+        self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
         self._picker = Picker(random.Random(seed), place.location)
         self._engines: dict[int, Engine] = {}
         self._limits: list[tuple[int, Batch]] = []
