--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from statistics import median
-from zlib import crc32
 
 from vanerelay.interface import (
     MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, ColdStart, Customer, Effect,
@@ -104,7 +103,7 @@
 
     def fits(self, grant: float, threads: int, level: float) -> bool:
         whole = self.cores * self.width * self._share * level
-        return grant <= self.room(level) and self.threads + threads <= whole
+        return grant <= self.room(level) and self.threads + threads / 4 <= whole
 
     def part(self) -> float:
         """The part of the whole engine that this gateway's dispatches fill."""
@@ -192,7 +191,7 @@
     """One engine as this gateway knows it."""
 
     def __init__(self, entry: EngineEntry, kind: MachineKind, cold: ColdStart, gateways: int) -> None:
-        self.entry, self.health, self.listed = entry, Health(), True
+        self.entry, self.health, self.listed, self.side = entry, Health(), True, 0
         self.ledger = Ledger(kind.memory, kind.cores, 1.0 / gateways)
         self.ramp = Ramp(cold, gateways, kind.cores)
         self._report: LoadReport | None = None
@@ -226,7 +225,7 @@
     """Draws among engines that fit: the less loaded and the sounder, the likelier."""
 
     SHARP = 6.0
-    APART = 0.15  # and one on which loads of the table group are to be met, that much less likely
+    APART = 0.02  # and one on which loads of the table group are to be met, that much less likely
     NEAR = 1.3  # an engine of the own location is this much likelier: crossing costs a little
 
     def __init__(self, chance: random.Random, location: int) -> None:
@@ -239,10 +238,10 @@
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
-        """A load holds its table group on its engine: all gateways lean to send loads of a table group to one
-        half of the engines, told by hash, and what would wait for them to the other. Harms if few remain."""
+        """A load holds its table group on its engine: all gateways lean to send loads of a table group to every
+        other engine by name, and what would wait for them to the rest. Harms where few engines remain."""
         group, tables = batch.group, batch.arrival.tables
-        home = crc32(f"{engine.entry.name}/{tables}".encode()) & 1 == 1
+        home = (engine.side + tables) % 2 == 1
         met = (group.is_load != home) + (engine.locks[tables] > 0)
         return self.APART ** met if group.meets_loads() else 1.0
 
@@ -446,6 +445,8 @@
             if entry.started:
                 engine.restarted(entry.started)
             engine.entry, engine.listed = entry, entry.state is EngineState.UP
+        for side, engine in enumerate(sorted(self._engines.values(), key=lambda e: e.entry.name)):
+            engine.side = side
         self.line.serve(self.admit)
 
     def list_failed(self) -> None:
