--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -143,7 +143,7 @@
 
 class Health:
     """One figure for an engine, from 0 (silent or lost) to 1 (sound), from what its answers show. Batches
-    that may stand behind a load come with an ideal run of 0: no sign of its pace, half a one of silence."""
+    that may stand behind a load come with an ideal run of 0: no sign of its pace, a weak one of silence."""
 
     QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
     PATIENCE = 3.0  # a dispatch out for this many times its expected run is overdue
@@ -181,7 +181,7 @@
         self.pace = lasted / ideal if ideal else 0.0  # how many times longer than alone its batches run
         slow = max(1.0, self.pace / (1.5 * fleet_pace)) if fleet_pace else 1.0
         target = (1.0 - errors / (ends + 1.0)) ** 3 / slow
-        silent = self._missed + sum(1.0 if run else 0.5 for _, run in late) >= self.OVERDUE
+        silent = self._missed + sum(1.0 if run else 0.2 for _, run in late) >= self.OVERDUE
         if self.lost or silent and now - self._heard > self.QUIET:
             target = 0.0
         self.level, self._looked = min(target, self.level + self.RISE * (now - self._looked) / SECOND), now
