--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -93,13 +93,16 @@
     START, LEAST, MOST = 2.0, 0.7, 3.0  # threads a core
     CROWDED = 2.5  # running this many times longer than alone means too many threads
     GROW, SHRINK = 0.01, 0.97  # a beat
+    LEND = 0.8  # of the engine's memory, with what others hold, may be granted past the slice
 
     def __init__(self, memory: float, cores: int, share: float) -> None:
         self.memory, self.cores, self._share = max(1.0, memory), max(1, cores), share
         self.granted, self.running, self.threads, self.width = 0.0, 0, 0, self.START
+        self.others = 1.0  # share of memory that others hold; all, until a report tells
 
     def room(self, level: float) -> float:
-        return self.memory * self._share * level - self.granted
+        """Departure: memory that the engine reports as granted to nobody may be used past the slice."""
+        return self.memory * level * max(self._share, self.LEND - self.others) - self.granted
 
     def fits(self, grant: float, threads: int, level: float) -> bool:
         whole = self.cores * self.width * self._share * level
@@ -204,6 +207,8 @@
         self.health.heard(now)
         if report is not None:
             self._report, self._own_then = report, self.ledger.part()
+            if report.memory_granted is not None:
+                self.ledger.others = max(0.0, report.memory_granted - self.ledger.granted / self.ledger.memory)
 
     def restarted(self, began: int) -> None:
         if began > self.ramp.began:
