--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -1,16 +1,15 @@
 """Every decision of vanerelay: what runs, where, with how much memory, and what is given up.
 
 How to call it: make one Gateway for each life of a process. Hand it every change of the list of engines
-(listed, list_failed) and every batch (take, which gives a Batch). All that happens to a batch later is a
-call on that Batch: ended, noted, left. The Gateway answers through the Transport of vanerelay/interface.py,
-where all types that cross the border are found. Times are whole tenths of a millisecond.
+(listed, list_failed) and every batch (take, which gives a Batch, the handle for all that happens later:
+ended, noted, left). It answers through the Transport of vanerelay/interface.py, where all types are found.
 """
 from __future__ import annotations
 
 import heapq
 import math
 import random
-from collections import Counter, defaultdict, deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from statistics import median
@@ -138,10 +137,9 @@
         return min(1.0, self._cold.share + (1.0 - self._cold.share) * max(0.0, age))
 
     def allows(self, now: int, work: float) -> bool:
-        if now - self.began >= self._cold.warm_after + self._cold.window:
-            return True
+        warm = now - self.began >= self._cold.warm_after + self._cold.window
         budget = self._budget * self.share(max(self.began, now - self._cold.window))
-        return self.sent.total(now, 0) + work <= budget
+        return warm or self.sent.total(now, 0) + work <= budget
 
 
 class Health:
@@ -198,7 +196,7 @@
         self.ledger = Ledger(kind.memory, kind.cores, 1.0 / gateways)
         self.ramp = Ramp(cold, gateways, kind.cores)
         self._report: LoadReport | None = None
-        self._own_then, self.locks = 0.0, Counter[int]()  # own loads out, by table group
+        self._own_then = 0.0
 
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
@@ -222,9 +220,6 @@
         shares = seen.shares(threads / (self.ledger.cores * self.ledger.width))
         return max(0.0, max(shares, default=self._own_then) + own - self._own_then)
 
-    def fits(self, now: int, grant: float, threads: int) -> bool:
-        return not self.ledger.running or self.ledger.fits(grant, threads, self.level(now))
-
 
 class Picker:
     """Draws among engines that fit: the less loaded and the sounder, the likelier."""
@@ -245,10 +240,8 @@
     def _apart(self, engine: Engine, batch: Batch) -> float:
         """A load holds its table group on its engine: all gateways lean to send loads of a table group to every
         other engine by name, and what would wait for them to the rest. Harms where few engines remain."""
-        group, tables = batch.group, batch.arrival.tables
-        home = (engine.side + tables) % 2 == 1
-        met = (group.is_load != home) + (engine.locks[tables] > 0)
-        return self.APART ** met if group.meets_loads() else 1.0
+        group, home = batch.group, (engine.side + batch.arrival.tables) % 2 == 1
+        return self.APART if group.meets_loads() and group.is_load != home else 1.0
 
 
 class Door:
@@ -407,7 +400,6 @@
         gateway.line.serve(gateway.admit)
 
     def noted(self, dispatch: int, kind: NoteKind, value: float) -> None:
-        """News of a running dispatch; a streamed answer that begins is news too."""
         send = self.sends[dispatch]
         send.engine.health.heard(self._gateway.transport.now)
         if kind is NoteKind.SPILL:
@@ -480,7 +472,7 @@
             return False
         cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
-        fitting = [e for e in able if e.fits(now, grant, threads)]
+        fitting = [e for e in able if not e.ledger.running or e.ledger.fits(grant, threads, e.level(now))]
         if not fitting:
             room, freest = max(((e.ledger.room(e.level(now)), e) for e in able), key=lambda pair: pair[0])
             bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
@@ -496,7 +488,6 @@
         batch.sends.append(Dispatch(engine, grant, now))
         batch.held = False
         engine.ledger.change(grant, threads, 1)
-        engine.locks[arrival.tables] += batch.group.is_load
         engine.ramp.sent.add(now, weight)
         alone = 0.0 if batch.group.meets_loads() else self.pace.alone(arrival.group, arrival.cost)
         engine.health.sent(now, id(batch.sends[-1]), run, alone)
@@ -566,7 +557,6 @@
 
     def free(self, batch: Batch, send: Dispatch) -> None:
         send.engine.ledger.change(-send.grant, -batch.group.threads, -1)
-        send.engine.locks[batch.arrival.tables] -= batch.group.is_load
         self.line.serve(self.admit)
 
     def worth_more(self, batch: Batch) -> bool:
