--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -96,14 +96,14 @@
 
     def __init__(self, memory: float, cores: int, share: float) -> None:
         self.memory, self.cores, self._share = max(1.0, memory), max(1, cores), share
-        self.granted, self.running, self.threads, self.width = 0.0, 0, 0, self.START
+        self.granted, self.running, self.threads, self.width = 0.0, 0, 0.0, self.START
         self.others = 1.0  # share of memory that others hold; all, until a report tells
 
     def room(self, level: float) -> float:
         """Departure: memory that the engine reports as granted to nobody may be used past the slice."""
         return self.memory * level * max(self._share, self.LEND - self.others) - self.granted
 
-    def fits(self, grant: float, threads: int, level: float) -> bool:
+    def fits(self, grant: float, threads: float, level: float) -> bool:
         whole = self.cores * self.width * self._share * level
         return grant <= self.room(level) and self.threads + threads / 4 <= whole
 
@@ -116,7 +116,7 @@
             width = self.width * self.SHRINK if pace > self.CROWDED else self.width + self.GROW
             self.width = min(self.MOST, max(self.LEAST, width))
 
-    def change(self, grant: float, threads: int, batches: int) -> None:
+    def change(self, grant: float, threads: float, batches: int) -> None:
         self.granted = max(0.0, self.granted + grant)
         self.threads, self.running = self.threads + threads, self.running + batches
 
@@ -342,6 +342,8 @@
 
     def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, rank: int) -> None:
         self._gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
+        # One that stands still behind a load uses no core meanwhile: its threads count for half.
+        self.threads = group.threads * (0.5 if group.meets_loads() else 1.0)
         self.key = arrival.key if group.in_order else None
         self.sends: list[Dispatch] = []
         self.held = self.over = False
@@ -465,7 +467,7 @@
 
     def admit(self, batch: Batch) -> bool:
         """The ordinary path: size, fit, draw, send. False: none fits, and the batch waits holding nothing."""
-        now, arrival, threads = self.transport.now, batch.arrival, batch.group.threads
+        now, arrival, threads = self.transport.now, batch.arrival, batch.threads
         weight = self.pace.weight(arrival.group, arrival.cost)
         able = [e for e in self._engines.values() if self._able(now, batch, e, weight)]
         if not able or batch.sends and not self._ration.allows(now):
@@ -556,7 +558,7 @@
             self._peaks.loaded(arrival.tables)
 
     def free(self, batch: Batch, send: Dispatch) -> None:
-        send.engine.ledger.change(-send.grant, -batch.group.threads, -1)
+        send.engine.ledger.change(-send.grant, -batch.threads, -1)
         self.line.serve(self.admit)
 
     def worth_more(self, batch: Batch) -> bool:
