--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -249,7 +249,7 @@
     cost anything: the longer the wait, the more. May harm a group that earns little for all its work."""
 
     FROM, OVER = 0.1, 0.5  # waits in parts of the shortest goal: nothing is shed at first, all past the sum
-    EVERY, MOST = 200 * MILLISECOND, 0.95
+    EVERY, MOST, EASE = 200 * MILLISECOND, 0.95, 0.25  # eased, or it swings between all and nothing
     KEPT = 200  # arrivals that stand for the traffic
 
     def __init__(self, goal: int) -> None:
@@ -260,13 +260,14 @@
 
     def admits(self, utility: float, work: float) -> bool:
         self._came.append((utility / max(1.0, work), work))
-        return not self.share or self._came[-1][0] >= self._bar
+        return self.share < 0.01 or self._came[-1][0] >= self._bar
 
     def look(self, now: int, wait: int) -> None:
         self._least = min(self._least, wait)
         if now < self._until:
             return
-        self.share = min(self.MOST, max(0.0, (self._least / self._goal - self.FROM) / self.OVER))
+        wanted = min(self.MOST, max(0.0, (self._least / self._goal - self.FROM) / self.OVER))
+        self.share += (wanted - self.share) * self.EASE
         self._least, self._until = math.inf, now + self.EVERY
         self._bar = quantile(self._came, self.share)
 
