--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -249,7 +249,7 @@
     cost anything: the longer the wait, the more. May harm a group that earns little for all its work."""
 
     FROM, OVER = 0.1, 0.5  # waits in parts of the shortest goal: nothing is shed at first, all past the sum
-    EVERY, MOST, EASE = 200 * MILLISECOND, 0.95, 0.25  # eased, or it swings between all and nothing
+    EVERY, MOST, EASE = 200 * MILLISECOND, 0.95, 0.1  # eased, or it swings between all and nothing
     KEPT = 200  # arrivals that stand for the traffic
 
     def __init__(self, goal: int) -> None:
