--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -92,7 +92,7 @@
     START, LEAST, MOST = 2.0, 0.7, 3.0  # threads a core
     CROWDED = 2.5  # running this many times longer than alone means too many threads
     GROW, SHRINK = 0.01, 0.97  # a beat
-    LEND = 0.8  # of the engine's memory, with what others hold, may be granted past the slice
+    LEND = 0.8  # departure: to this part of its memory, what is reported as held by nobody may be granted too
 
     def __init__(self, memory: float, cores: int, share: float) -> None:
         self.memory, self.cores, self._share = max(1.0, memory), max(1, cores), share
@@ -100,7 +100,6 @@
         self.others = 1.0  # share of memory that others hold; all, until a report tells
 
     def room(self, level: float) -> float:
-        """Departure: memory that the engine reports as granted to nobody may be used past the slice."""
         return self.memory * level * max(self._share, self.LEND - self.others) - self.granted
 
     def fits(self, grant: float, threads: float, level: float) -> bool:
@@ -206,7 +205,8 @@
         if report is not None:
             self._report, self._own_then = report, self.ledger.part()
             if report.memory_granted is not None:
-                self.ledger.others = max(0.0, report.memory_granted - self.ledger.granted / self.ledger.memory)
+                own = self.ledger.granted / self.ledger.memory
+                self.ledger.others = max(0.0, report.memory_granted - own)
 
     def restarted(self, began: int) -> None:
         if began > self.ramp.began:
@@ -226,6 +226,7 @@
 
     SHARP = 6.0
     APART = 0.02  # and one on which loads of the table group are to be met, that much less likely
+
     NEAR = 1.3  # an engine of the own location is this much likelier: crossing costs a little
 
     def __init__(self, chance: random.Random, location: int) -> None:
@@ -238,15 +239,15 @@
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
-        """A load holds its table group on its engine: all gateways lean to send loads of a table group to every
-        other engine by name, and what would wait for them to the rest. Harms where few engines remain."""
+        """A load holds its table group on its engine: all gateways lean to send loads of a table group to
+        every other engine by name, what would wait for them to the rest. Harms where few engines remain."""
         group, home = batch.group, (engine.side + batch.arrival.tables) % 2 == 1
         return self.APART if group.meets_loads() and group.is_load != home else 1.0
 
 
 class Door:
-    """Under overload (a line whose head keeps waiting) turns away what earns least for its work, before it has
-    cost anything: the longer the wait, the more. May harm a group that earns little for all its work."""
+    """Under overload (a line whose head keeps waiting) turns away what earns least for its work, before it
+    has cost anything: the longer the wait, the more. May harm a group that earns little for all its work."""
 
     FROM, OVER = 0.1, 0.5  # waits in parts of the shortest goal: nothing is shed at first, all past the sum
     EVERY, MOST, EASE = 200 * MILLISECOND, 0.95, 0.1  # eased, or it swings between all and nothing
@@ -430,7 +431,8 @@
         self._picker = Picker(random.Random(seed), place.location)
         self._engines: dict[int, Engine] = {}
         self._limits: list[tuple[int, Batch]] = []
-        self._threads, self._rank, self._beating, self._beat_at = 1.0, 0, False, 0  # threads: the mean of what came
+        self._rank, self._beating, self._beat_at = 0, False, 0
+        self._threads = 1.0  # the mean of what came
         if allowed.on_request:
             transport.subscribe()
 
