--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,8 +41,8 @@
         other = dataclasses.replace(GROUP, threads=4)
         self.gateway = Gateway(
             self, 7, [self.group, other], [MachineKind(16, 32000.0)] * 2, Place(0, gateways, 0),
-            dataclasses.replace(ALLOWED, **(allowed or {})), COLD, ration or RationTerms(0, 0, 0.0), [],
-            pause, 50)
+            dataclasses.replace(ALLOWED, **(allowed or {})), COLD, ration or RationTerms(0, 0, 0.0), pause,
+            50)
         self.entries = [entry(i) for i in range(engines)]
         self.gateway.listed(self.entries, True)
 
--- a/vanerelay/adapter/instance.py
+++ b/vanerelay/adapter/instance.py
@@ -40,13 +40,13 @@
         self._reported = wire.report_names(profile)
         groups, kinds, place = wire.service_groups(profile), wire.machine_kinds(profile), wire.place(profile)
         allowed, cold = wire.allowances(profile), wire.cold_start(profile)
-        ration, customers = wire.ration_terms(profile), wire.customers(profile)
+        ration = wire.ration_terms(profile)
         pause, tick = wire.order_pause(profile), wire.up(profile.get("tickUs") or 0)
         self._gateway: Gateway | None = None
 
         def start() -> None:
             self._gateway = Gateway(
-                self, seed, groups, kinds, place, allowed, cold, ration, customers, pause, tick)
+                self, seed, groups, kinds, place, allowed, cold, ration, pause, tick)
 
         self._call(start)
 
--- a/vanerelay/adapter/wire.py
+++ b/vanerelay/adapter/wire.py
@@ -6,7 +6,6 @@
 from vanerelay.interface import (
     Allowances,
     ColdStart,
-    Customer,
     Effect,
     EngineEntry,
     EngineState,
@@ -139,11 +138,6 @@
     return up((profile.get("safety") or {}).get("orderPauseUs") or 0)
 
 
-def customers(profile: dict[str, Any]) -> list[Customer]:
-    over = float(profile.get("overShareWorth", 1.0))
-    return [Customer(float(o.get("quotaPerS") or 0.0), over) for o in profile.get("orgs") or []]
-
-
 def report_names(profile: dict[str, Any]) -> dict[str, str]:
     """The wire's names of reported values against the fields of LoadReport."""
     info = profile.get("familyInfo") or {}
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -15,7 +15,7 @@
 from statistics import median
 
 from vanerelay.interface import (
-    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, ColdStart, Customer, Effect,
+    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, ColdStart, Effect,
     EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
     ServiceGroup, Transport,
 )
@@ -70,7 +70,6 @@
         self._ran[group].add(now, lasted, work / self._groups[group].threads)
 
     def work(self, group: int, told: int) -> float:
-        """The work of all threads of a batch."""
         return self._told[group].value(told) or self._groups[group].goal / 4
 
     def weight(self, group: int, told: int) -> float:
@@ -107,7 +106,6 @@
         return grant <= self.room(level) and self.threads + threads / 4 <= whole
 
     def part(self) -> float:
-        """The part of the whole engine that this gateway's dispatches fill."""
         return max(self.granted / self.memory, self.threads / (self.cores * self.width))
 
     def learn(self, pace: float) -> None:
@@ -131,7 +129,6 @@
         self._budget = cold.multiple * max(1, cores) * self.BUSY * cold.window * self.CAUTION / gateways
 
     def share(self, now: int) -> float:
-        """The part of its capacity that the engine has at least."""
         age = (now - self.began) / max(1, self._cold.warm_after)
         return min(1.0, self._cold.share + (1.0 - self._cold.share) * max(0.0, age))
 
@@ -212,12 +209,13 @@
         if began > self.ramp.began:
             self.ramp.began, self._report = began, None
 
-    def load(self, threads: float) -> float:
+    def load(self) -> float:
         """Reported utilisation plus own sends since; own alone where nothing is reported."""
         seen, own = self._report, self.ledger.part()
         if seen is None:
             return own
-        shares = seen.shares(threads / (self.ledger.cores * self.ledger.width))
+        one = max(1.0, self.ledger.threads / max(1, self.ledger.running))
+        shares = seen.shares(one / (self.ledger.cores * self.ledger.width))
         return max(0.0, max(shares, default=self._own_then) + own - self._own_then)
 
 
@@ -232,10 +230,10 @@
     def __init__(self, chance: random.Random, location: int) -> None:
         self._chance, self._here = chance, location
 
-    def draw(self, now: int, engines: Sequence[Engine], batch: Batch, threads: float) -> Engine:
+    def draw(self, now: int, engines: Sequence[Engine], batch: Batch) -> Engine:
         weights = [
             e.ledger.cores * self._apart(e, batch) * (self.NEAR if e.entry.location == self._here else 1.0)
-            * math.exp(-self.SHARP * min(e.load(threads) / max(0.05, e.level(now)), 9.0)) for e in engines]
+            * math.exp(-self.SHARP * min(e.load() / max(0.05, e.level(now)), 9.0)) for e in engines]
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
@@ -330,13 +328,11 @@
 
 @dataclass(slots=True)
 class Dispatch:
-    """One sending of a batch to an engine; `ran` until an outcome proves that it never did."""
-
     engine: Engine
     grant: float
     sent: int
     out: bool = True
-    ran: bool = True
+    ran: bool = True  # until an outcome proves that it never did
 
 
 class Batch:
@@ -422,17 +418,15 @@
 
     def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
                  kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
-                 ration: RationTerms, customers: Sequence[Customer], order_pause: int, tick: int) -> None:
+                 ration: RationTerms, order_pause: int, tick: int) -> None:
         self.transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
-        self.allowed, self._cold, self._customers = allowed, cold, customers
+        self.allowed, self._cold = allowed, cold
         self._margin = 2 * tick + BEAT + 1  # kept free before a time limit
         self._peaks, self.pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
         self._picker = Picker(random.Random(seed), place.location)
-        self._engines: dict[int, Engine] = {}
-        self._limits: list[tuple[int, Batch]] = []
+        self._engines, self._limits = dict[int, Engine](), list[tuple[int, Batch]]()
         self._rank, self._beating, self._beat_at = 0, False, 0
-        self._threads = 1.0  # the mean of what came
         if allowed.on_request:
             transport.subscribe()
 
@@ -447,7 +441,8 @@
             if entry.started:
                 engine.restarted(entry.started)
             engine.entry, engine.listed = entry, entry.state is EngineState.UP
-        for side, engine in enumerate(sorted(self._engines.values(), key=lambda e: e.entry.name)):
+        present = [engine for engine in self._engines.values() if engine.listed]
+        for side, engine in enumerate(sorted(present, key=lambda e: e.entry.name)):
             engine.side = side
         self.line.serve(self.admit)
 
@@ -458,7 +453,6 @@
         now, group, self._rank = self.transport.now, self._groups[arrival.group], self._rank + 1
         batch = Batch(self, arrival, group, self._rank)
         self._ration.ring.add(now, 1, 0)
-        self._threads += (group.threads - self._threads) / 100
         welcome = self._door.admits(group.utility, self.pace.work(arrival.group, arrival.cost))
         if not welcome or arrival.time_limit <= now + self._margin:
             self.give_up(batch)
@@ -485,9 +479,8 @@
             if now - batch.held_since < bound or not freest.ledger.fits(cut, threads, freest.level(now)):
                 return False
             fitting, grant = [freest], cut
-        engine = self._picker.draw(now, fitting, batch, self._threads)
-        if self.allowed.grants or self.allowed.priorities:
-            self.transport.grant(arrival.index, round(grant), 1)
+        engine = self._picker.draw(now, fitting, batch)
+        self.transport.grant(arrival.index, round(grant), 1)
         self._ration.ring.add(now, 0, len(batch.sends) > 0)
         run = self.pace.run(now, arrival.group, arrival.cost)
         batch.sends.append(Dispatch(engine, grant, now))
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -148,14 +148,6 @@
     share: float
 
 
-@dataclass(frozen=True, slots=True)
-class Customer:
-    """A customer's batches a second, across all gateways, that lie within its share."""
-
-    quota: float
-    over_share: float
-
-
 @dataclass(frozen=True, slots=True)
 class EngineEntry:
     """One line of the list of engines; `started` is 0 when that was long ago."""
