--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -100,7 +100,9 @@
     assert ledger.room(1.0) == pytest.approx(room)
 
 
-@pytest.mark.parametrize(("waited", "cheap", "dear"), [(0.0, True, True), (0.2, True, False), (0.5, True, False)])
+@pytest.mark.parametrize(("waited", "cheap", "dear"), [
+    (0.0, True, True), (0.2, True, False), (0.5, True, False),
+])
 def test_the_door_turns_away_what_earns_least_for_its_work(waited, cheap, dear):
     door = Door(10_000)
     for count in range(50):
