Single resets count as errors, not as a dead engine; confined batches share lines by scope

Cause: each broken connection counted as a death, and the engine came back as a cold one. Told from crashes: other dispatches on the same engine went on. A line for each confined batch cost time on an edited site with a referenced group: they now share one by scope, and end with their window.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -290,8 +290,13 @@
 
 def test_a_reset_engine_comes_back_as_a_cold_one():
     world = World(engines=1, late_utility=0.5)
-    batch = world.take()
+    batch, other = world.take(), world.take()
+    world.end(other, O.RESET)
+    assert world.gateway._engines[0].health.level == 1.0  # one broken connection is no dead process
     world.end(batch, O.RESET)
+    assert world.gateway._engines[0].health.level == 0.0
+    world.end(other, O.NO_CONNECTION)
+    other.left()
     world.run(600)
     assert len(batch.sends) == 1  # not before a while has passed
     world.run(SECOND)
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -73,7 +73,7 @@
         return self._told[group].value(told) or self._groups[group].goal / 4
 
     def weight(self, group: int, told: int) -> float:
-        """For rule 4, where a batch weighs its group's usual work: never less than its own."""
+        # Rule 4 weighs a batch by its group's usual work; never less than its own.
         return max(self.work(group, told), self._told[group].mean())
 
     def run(self, now: int, group: int, told: int) -> float:
@@ -152,20 +152,23 @@
         self._ring = Ring(4 * SECOND, 4, 8)  # ends, errors, lasted, ideal
         self._out: dict[int, tuple[int, float, float]] = {}  # sent, expected run, ideal run
         self._heard = self._looked = self._missed = self.tried = 0
-        self.lost, self.level, self.pace = False, 1.0, 0.0
+        self.lost, self.level, self.pace, self._resets = False, 1.0, 0.0, list[int]()
 
     def sent(self, now: int, key: int, run: float, ideal: float) -> None:
         self._out[key], self.tried = (now, max(self.QUIET, self.PATIENCE * run), ideal), now
 
     def heard(self, now: int) -> None:
-        self._heard, self._missed, self.lost = now, 0, False
+        self._heard, self._missed, self._resets, self.lost = now, 0, [], False
 
     def ended(self, now: int, key: int, outcome: Outcome, ideal: float) -> None:
         sent, patience, alone = self._out.pop(key)
         ideal = (ideal or alone) * (alone > 0.0)
-        if outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
+        # A process that dies resets all that was out; connections that break singly are errors, no more.
+        self._resets += [now] if outcome is Outcome.RESET else []
+        dead = len(self._resets) >= self.OVERDUE and all(s >= self._resets[0] for s, *_ in self._out.values())
+        if dead or outcome is Outcome.NO_CONNECTION:
             self.lost, self.level = True, 0.0
-        elif outcome in (Outcome.ERRORED, Outcome.PUSHED_BACK):
+        elif outcome in (Outcome.ERRORED, Outcome.PUSHED_BACK, Outcome.RESET):
             self._ring.add(now, 1, 1, 0, 0)
         elif outcome in (Outcome.TIMED_OUT, Outcome.RETURNED):
             self._missed += outcome is Outcome.TIMED_OUT and now > sent + patience
@@ -290,12 +293,11 @@
         self.queues: defaultdict[int, deque[Batch]] = defaultdict(deque)
 
     def unsure(self, now: int, key: int) -> None:
-        """A dispatch of this key may still run: later batches let the key rest."""
         self._rests = {other: until for other, until in self._rests.items() if until > now}
         self._rests[key] = now + self._pause + 1
 
     def next(self, now: int, key: int) -> tuple[Batch | None, int]:
-        """Drops what is settled; gives the batch whose turn it is, and how long it must rest still."""
+        """The batch whose turn it is, and how long it must rest still."""
         queue, rest = self.queues[key], max(0, self._rests.get(key, 0) - now)
         while queue and queue[0].over and not queue[0].out():
             queue.popleft()
@@ -305,8 +307,8 @@
 
 
 class Line:
-    """Held batches, first come first served; each holds nothing. Unbound batches share one line; those bound
-    to some engines have their own, so that none stands before the rest while its engines are down."""
+    """Held batches, first come first served, each holding nothing; freed room goes to the head. Those bound
+    to some engines stand apart, not to keep the rest waiting while their engines are down."""
 
     def __init__(self) -> None:
         self._lines: defaultdict[tuple[object, ...], list[Batch]] = defaultdict(list)
@@ -315,7 +317,6 @@
         heapq.heappush(self._lines[batch.bound_to()], batch)
 
     def serve(self, admit: Callable[[Batch], bool]) -> None:
-        """Freed room goes to the head, one batch at a time, in the order of arrival."""
         for bound, line in list(self._lines.items()):
             while line and (not line[0].held or admit(line[0])):
                 heapq.heappop(line)
@@ -372,8 +373,10 @@
             for send in self.sends if send.ran)))
 
     def bound_to(self) -> tuple[object, ...]:
-        confined = self.group.effect is not Effect.REPEATABLE and any(send.ran for send in self.sends)
-        return (self.group.locations, self.group.kinds, self.rank if confined else None)
+        group, ran = self.group, [send.engine.entry for send in self.sends if send.ran]
+        confined = ran and group.effect is Effect.REFERENCED and group.scope is not Scope.ALL
+        scope = (ran[0].location if group.scope is Scope.LOCATION else -1 - ran[0].cell) if confined else None
+        return (group.locations, group.kinds, scope)
 
     def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
               report: LoadReport | None) -> None:
@@ -493,10 +496,9 @@
         return True
 
     def _able(self, now: int, batch: Batch, engine: Engine, weight: float) -> bool:
-        """Rules 2, 3, 4, 6, and whether the engine is in health to be sent this batch."""
+        """Rules 2, 3, 4, 6; and health, or a trial with little at stake: one repeatable batch at a time."""
         if not engine.listed or not batch.may_go(now, engine.entry) or not engine.ramp.allows(now, weight):
             return False
-        # Under the low mark, a trial with little at stake: one batch at a time that may run again.
         return engine.health.level >= Health.LOW or (
             batch.group.effect is Effect.REPEATABLE and not engine.ledger.running
             and now - engine.health.tried >= SECOND)
@@ -512,6 +514,9 @@
         now, arrival, batch.held = self.transport.now, batch.arrival, True
         run, batch.held_since = int(self.pace.run(now, arrival.group, arrival.cost)), now
         batch.give_up_at = min(arrival.time_limit - self._margin, max(batch.goal_at - run, now + BEAT))
+        if batch.group.effect is Effect.REFERENCED:  # past its window it may go nowhere, nor stand in the way
+            ends = [send.sent + batch.group.window for send in batch.sends if send.ran]
+            batch.give_up_at = min([batch.give_up_at, *ends])
         heapq.heappush(self._limits, (batch.give_up_at, batch))
         if not self._beating:
             self._beating, self._beat_at = True, now
