--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -73,7 +73,6 @@
         return self._told[group].value(told) or self._groups[group].goal / 4
 
     def weight(self, group: int, told: int) -> float:
-        # Rule 4 weighs a batch by its group's usual work; never less than its own.
         return max(self.work(group, told), self._told[group].mean())
 
     def run(self, now: int, group: int, told: int) -> float:
@@ -414,8 +413,6 @@
 
 
 class Gateway:
-    """One gateway: takes batches, and decides alone."""
-
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
 
@@ -560,7 +557,6 @@
 
     def free(self, batch: Batch, send: Dispatch) -> None:
         send.engine.ledger.change(-send.grant, -batch.threads, -1)
-        self.line.serve(self.admit)
 
     def worth_more(self, batch: Batch) -> bool:
         """Whether another dispatch is allowed and could bring the batch home while it earns something."""
@@ -581,7 +577,6 @@
         self.finished(batch)
 
     def finished(self, batch: Batch) -> None:
-        """It is over: the next batch of its key has its turn, after a rest where one is due."""
         batch.held = False
         if batch.key is not None:
             following, rest = self.turns.next(self.transport.now, batch.key)
