--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -312,3 +312,12 @@
     world.take(memory=1000.0)
     first, second = (call[1] for call in world.did("grant"))
     assert second > first
+
+
+@pytest.mark.parametrize(("heeded", "cost", "priority"), [
+    (True, 1000, 2), (True, 9000, 1), (False, 1000, 1),
+])
+def test_light_batches_go_first_where_priorities_are_heeded(heeded, cost, priority):
+    world = World(allowed={"priorities": heeded})
+    world.take(cost=cost)
+    assert world.did("grant")[0][2] == priority
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -187,8 +187,6 @@
 
 
 class Engine:
-    """One engine as this gateway knows it."""
-
     def __init__(self, entry: EngineEntry, kind: MachineKind, cold: ColdStart, gateways: int) -> None:
         self.entry, self.health, self.listed, self.side = entry, Health(), True, 0
         self.ledger = Ledger(kind.memory, kind.cores, 1.0 / gateways)
@@ -480,15 +478,16 @@
                 return False
             fitting, grant = [freest], cut
         engine = self._picker.draw(now, fitting, batch)
-        self.transport.grant(arrival.index, round(grant), 1)
+        alone = self.pace.alone(arrival.group, arrival.cost)
+        urgent = self.allowed.priorities and alone < batch.group.goal / 4  # little to do, soon wanted
+        self.transport.grant(arrival.index, round(grant), 2 if urgent else 1)
         self._ration.ring.add(now, 0, len(batch.sends) > 0)
         run = self.pace.run(now, arrival.group, arrival.cost)
         batch.sends.append(Dispatch(engine, grant, now))
         batch.held = False
         engine.ledger.change(grant, threads, 1)
         engine.ramp.sent.add(now, weight)
-        alone = 0.0 if batch.group.meets_loads() else self.pace.alone(arrival.group, arrival.cost)
-        engine.health.sent(now, id(batch.sends[-1]), run, alone)
+        engine.health.sent(now, id(batch.sends[-1]), run, 0.0 if batch.group.meets_loads() else alone)
         self.transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
         return True
 
