Kept engines, grants pooled over the fleet, lending by aged reports, few warm a cold engine

Now each gateway keeps 8 or more engines, scattered; an engine that runs none of ours takes one past its slice only while all our grants keep to our part of the fleet; what reports show free is lent up to 0.85 of the slices of others; the cold budget is split among as few gateways as it holds large batches for, by name and number.

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -1,39 +1,37 @@
 """Every decision of vanerelay: what runs, where, with how much memory, and what is given up.
 
-How to call it: make one Gateway for each life of a process. Hand it every change of the list of engines
-(listed, list_failed) and every batch (take, which gives a Batch, the handle for all that happens later:
-ended, noted, left). It answers through the Transport of vanerelay/interface.py, where all types are found.
+How to call it: one Gateway for each life of a process is handed every change of the list of engines (listed,
+list_failed) and every batch (take, which gives a Batch, the handle for all that happens later: ended, noted,
+left). It answers through the Transport of vanerelay/interface.py, where all types are found.
 """
 from __future__ import annotations
 
 import heapq
 import math
 import random
+from bisect import bisect_left, insort
 from collections import defaultdict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
-from statistics import median
 
 from vanerelay.interface import (
-    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, ColdStart, Effect,
+    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, Bounds, ColdStart, Effect,
     EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
     ServiceGroup, Transport,
 )
-from vanerelay.measure import Estimate, Ring, quantile
+from vanerelay.measure import Estimate, Ring, quantile, rank_among, scatter
 
 ANSWERS, FAITH = 200, 2.0  # answers an estimate learns from; answers' worth of trust in the told figure
-BEAT = 20 * MILLISECOND  # how often the line, the limits and the engines' health are looked over
+NEVER, FAULTS = -1000 * SECOND, (Outcome.ERRORED, Outcome.PUSHED_BACK, Outcome.RESET)
+BEAT = 50 * MILLISECOND  # how often the line, the limits and the engines' health are looked over
 
 
 class Peaks:
-    """Grants from remembered peaks, by service group and table group. Runs of one shape differ several
-    times over: peaks are remembered against what was told of their batches (slope 0 if it tells nothing)."""
+    """Grants from peaks remembered by service group and table group, against what was told of the batches."""
 
-    MARGIN = 1.25  # over an expected peak, where the spread asks for no more
-    SPREADS = 1.0  # how many spreads of past peaks the margin covers
+    MARGIN = 1.25  # over an expected peak, where one spread of past peaks asks for no more
     STEP = 1.12  # ladder of buckets: each this much over the one below
-    KEPT = 30 * SECOND
-    RUNS = 20  # runs that an entry averages
+    KEPT, RUNS = 30 * SECOND, 20  # how long an entry lasts, and the runs that it averages
 
     def __init__(self, groups: int) -> None:
         self._shapes: dict[tuple[int, int], tuple[float, int, int]] = {}  # offset, runs, until
@@ -41,7 +39,7 @@
 
     def size(self, now: int, group: int, tables: int, told: float, cap: float) -> float:
         estimate, (offset, _, until) = self._told[group], self._shapes.get((group, tables), (0.0, 0, 0))
-        margin = max(math.log(self.MARGIN), self.SPREADS * estimate.spread())
+        margin = max(math.log(self.MARGIN), estimate.spread())
         wanted = estimate.log(told) + margin + (offset if until > now else 0.0)
         step = math.log(self.STEP)
         return min(cap, math.exp(step * math.ceil(wanted / step - 1e-9))) if told or estimate.seen else 0.0
@@ -84,62 +82,60 @@
 
 
 class Ledger:
-    """This gateway's own grants on one engine against its slice; and its threads, as memory alone lets in
-    so many light batches that an engine gets less done in all. Answers show how many it bears."""
+    """Our grants on one engine, or on all; and their threads, as memory alone lets in too many light ones."""
 
-    START, LEAST, MOST = 2.0, 0.7, 3.0  # threads a core
-    CROWDED = 2.5  # running this many times longer than alone means too many threads
-    GROW, SHRINK = 0.01, 0.97  # a beat
-    LEND = 0.8  # departure: to this part of its memory, what is reported as held by nobody may be granted too
+    WIDTH = 2.4  # threads a core: some of them read or write
 
-    def __init__(self, memory: float, cores: int, share: float) -> None:
-        self.memory, self.cores, self._share = max(1.0, memory), max(1, cores), share
-        self.granted, self.running, self.threads, self.width = 0.0, 0, 0.0, self.START
-        self.others = 1.0  # share of memory that others hold; all, until a report tells
+    def __init__(self, memory: float, cores: int) -> None:
+        self.memory, self.cores = max(1.0, memory), max(1, cores)
+        self.granted, self.running, self.threads = 0.0, 0, 0.0
 
-    def room(self, level: float) -> float:
-        return self.memory * level * max(self._share, self.LEND - self.others) - self.granted
+    def room(self, part: float) -> float:
+        return self.memory * part - self.granted
 
-    def fits(self, grant: float, threads: float, level: float) -> bool:
-        whole = self.cores * self.width * self._share * level
-        return grant <= self.room(level) and self.threads + threads / 4 <= whole
+    def fits(self, grant: float, threads: int, part: float) -> bool:  # or a wide one would hardly ever fit
+        return grant <= self.room(part) and self.threads + threads / 4 <= self.cores * self.WIDTH * part
 
-    def part(self) -> float:
-        return max(self.granted / self.memory, self.threads / (self.cores * self.width))
+    def used(self) -> float:
+        return max(self.granted / self.memory, self.threads / (self.cores * self.WIDTH))
 
-    def learn(self, pace: float) -> None:
-        if pace > 0.0:
-            width = self.width * self.SHRINK if pace > self.CROWDED else self.width + self.GROW
-            self.width = min(self.MOST, max(self.LEAST, width))
-
-    def change(self, grant: float, threads: float, batches: int) -> None:
+    def change(self, grant: float, threads: int, batches: int) -> None:
         self.granted = max(0.0, self.granted + grant)
         self.threads, self.running = self.threads + threads, self.running + batches
 
 
 class Ramp:
-    """What a freshly started engine may be sent: this gateway's part of the budget of rule 4."""
+    """What a freshly started engine may be sent: our part of the budget of rule 4. Among many gateways it
+    is split by as few as it holds large batches for, the same by name and number at all; the rest wait."""
 
     BUSY = 0.85  # capacity is the rate at which the cores are this busy
     CAUTION = 0.7  # part of the budget used: batches cost more or less than their group's usual
 
-    def __init__(self, cold: ColdStart, gateways: int, cores: int) -> None:
-        self._cold, self.began, self.sent = cold, -cold.warm_after, Ring(max(1, cold.window), 1)
-        self._budget = cold.multiple * max(1, cores) * self.BUSY * cold.window * self.CAUTION / gateways
+    def __init__(self, cold: ColdStart, name: str, cores: int, place: Place, batch: float) -> None:
+        self._cold, self._name, self._place = cold, name, place
+        self.began, self.sent = -cold.warm_after - cold.window, Ring(max(1, cold.window), 1)
+        whole = cold.multiple * max(1, cores) * self.BUSY * cold.window * self.CAUTION
+        self._sharers = max(1, min(place.gateways, int(whole * cold.share / max(1.0, batch))))
+        self._budget, self._mine = whole / self._sharers, True
+
+    def restart(self, began: int) -> None:
+        if began > self.began:
+            self.began, place = began, self._place
+            self._mine = rank_among(self._name, place.number, place.gateways) < self._sharers
 
     def share(self, now: int) -> float:
-        age = (now - self.began) / max(1, self._cold.warm_after)
-        return min(1.0, self._cold.share + (1.0 - self._cold.share) * max(0.0, age))
+        age = max(0.0, (now - self.began) / max(1, self._cold.warm_after))
+        return min(1.0, self._cold.share + (1.0 - self._cold.share) * age)
 
     def allows(self, now: int, work: float) -> bool:
-        warm = now - self.began >= self._cold.warm_after + self._cold.window
+        if now - self.began >= self._cold.warm_after + self._cold.window:
+            return True
         budget = self._budget * self.share(max(self.began, now - self._cold.window))
-        return warm or self.sent.total(now, 0) + work <= budget
+        return self._mine and self.sent.total(now, 0) + work <= budget
 
 
 class Health:
-    """One figure for an engine, from 0 (silent or lost) to 1 (sound), from what its answers show. Batches
-    that may stand behind a load come with an ideal run of 0: no sign of its pace, a weak one of silence."""
+    """One figure for an engine, from 0 (silent or lost) to 1 (sound). How fast it is, its reports tell."""
 
     QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
     PATIENCE = 3.0  # a dispatch out for this many times its expected run is overdue
@@ -148,99 +144,86 @@
     LOW = 0.15  # under this an engine gets one trial batch at a time
 
     def __init__(self) -> None:
-        self._ring = Ring(4 * SECOND, 4, 8)  # ends, errors, lasted, ideal
-        self._out: dict[int, tuple[int, float, float]] = {}  # sent, expected run, ideal run
+        self._ring = Ring(4 * SECOND, 2, 8)  # ends, errors
+        self._out: dict[int, tuple[int, float, float]] = {}  # sent, patience, weight as a sign of silence
         self._heard = self._looked = self._missed = self.tried = 0
-        self.lost, self.level, self.pace, self._resets = False, 1.0, 0.0, list[int]()
+        self.lost, self.level = False, 1.0
 
-    def sent(self, now: int, key: int, run: float, ideal: float) -> None:
-        self._out[key], self.tried = (now, max(self.QUIET, self.PATIENCE * run), ideal), now
+    def sent(self, now: int, key: int, run: float, weight: float) -> None:
+        self._out[key], self.tried = (now, max(self.QUIET, self.PATIENCE * run), weight), now
 
     def heard(self, now: int) -> None:
-        self._heard, self._missed, self._resets, self.lost = now, 0, [], False
-
-    def ended(self, now: int, key: int, outcome: Outcome, ideal: float) -> None:
-        sent, patience, alone = self._out.pop(key)
-        ideal = (ideal or alone) * (alone > 0.0)
-        # A process that dies resets all that was out; connections that break singly are errors, no more.
-        self._resets += [now] if outcome is Outcome.RESET else []
-        dead = len(self._resets) >= self.OVERDUE and all(s >= self._resets[0] for s, *_ in self._out.values())
-        if dead or outcome is Outcome.NO_CONNECTION:
+        self._heard, self._missed, self.lost = now, 0, False
+
+    def ended(self, now: int, key: int, outcome: Outcome, lasted: int) -> None:
+        patience = self._out.pop(key)[1]
+        if outcome is Outcome.NO_CONNECTION:
             self.lost, self.level = True, 0.0
-        elif outcome in (Outcome.ERRORED, Outcome.PUSHED_BACK, Outcome.RESET):
-            self._ring.add(now, 1, 1, 0, 0)
-        elif outcome in (Outcome.TIMED_OUT, Outcome.RETURNED):
-            self._missed += outcome is Outcome.TIMED_OUT and now > sent + patience
-            self._ring.add(now, 1, 0, (now - sent) * (ideal > 0.0), ideal)
-
-    def look(self, now: int, fleet_pace: float) -> None:
-        ends, errors, lasted, ideal = (self._ring.total(now, field) for field in range(4))
-        late = [(now - sent, run) for sent, patience, run in self._out.values() if now > sent + patience]
-        lasted, ideal = lasted + sum(age for age, run in late if run), ideal + sum(run for _, run in late)
-        self.pace = lasted / ideal if ideal else 0.0  # how many times longer than alone its batches run
-        slow = max(1.0, self.pace / (1.5 * fleet_pace)) if fleet_pace else 1.0
-        target = (1.0 - errors / (ends + 1.0)) ** 3 / slow
-        silent = self._missed + sum(1.0 if run else 0.2 for _, run in late) >= self.OVERDUE
-        if self.lost or silent and now - self._heard > self.QUIET:
+        elif outcome is Outcome.TIMED_OUT and lasted > patience:
+            self._missed += 1
+        self._ring.add(now, 1, 1 if outcome in FAULTS else 0)
+
+    def look(self, now: int) -> None:
+        target = (1.0 - self._ring.total(now, 1) / (self._ring.total(now, 0) + 1.0)) ** 3
+        overdue = sum(weight for sent, patience, weight in self._out.values() if now > sent + patience)
+        if self.lost or self._missed + overdue >= self.OVERDUE and now - self._heard > self.QUIET:
             target = 0.0
         self.level, self._looked = min(target, self.level + self.RISE * (now - self._looked) / SECOND), now
 
 
 class Engine:
-    def __init__(self, entry: EngineEntry, kind: MachineKind, cold: ColdStart, gateways: int) -> None:
-        self.entry, self.health, self.listed, self.side = entry, Health(), True, 0
-        self.ledger = Ledger(kind.memory, kind.cores, 1.0 / gateways)
-        self.ramp = Ramp(cold, gateways, kind.cores)
-        self._report: LoadReport | None = None
-        self._own_then = 0.0
+    # Departure: what an engine reports as held by nobody may be used past the slice, up to this part of the
+    # slices of others. Guards uneven traffic and slices under one grant. Harms where reports are late.
+    LEND = 0.85
+    AGED = 2 * SECOND  # a report this old tells a third of what it did, the usual of all reports the rest
+
+    def __init__(self, entry: EngineEntry, kind: MachineKind, gateways: int, ramp: Ramp) -> None:
+        self.entry, self.health, self.listed, self.ramp = entry, Health(), False, ramp
+        self.ledger, self._slice = Ledger(kind.memory, kind.cores), 1.0 / gateways
+        self.told, self._told_at = 1.0, NEVER  # the part that others hold, as last reported
 
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
 
-    def heard(self, now: int, report: LoadReport | None) -> None:
+    def heard(self, now: int, report: LoadReport | None, threads: float) -> None:  # threads a batch
         self.health.heard(now)
-        if report is not None:
-            self._report, self._own_then = report, self.ledger.part()
-            if report.memory_granted is not None:
-                own = self.ledger.granted / self.ledger.memory
-                self.ledger.others = max(0.0, report.memory_granted - own)
-
-    def restarted(self, began: int) -> None:
-        if began > self.ramp.began:
-            self.ramp.began, self._report = began, None
-
-    def load(self) -> float:
-        """Reported utilisation plus own sends since; own alone where nothing is reported."""
-        seen, own = self._report, self.ledger.part()
-        if seen is None:
-            return own
-        one = max(1.0, self.ledger.threads / max(1, self.ledger.running))
-        shares = seen.shares(one / (self.ledger.cores * self.ledger.width))
-        return max(0.0, max(shares, default=self._own_then) + own - self._own_then)
+        shares = report.shares(threads / (self.ledger.cores * Ledger.WIDTH)) if report else []
+        if shares:
+            self.told, self._told_at = max(0.0, max(shares) - self.ledger.used()), now
+
+    def others(self, now: int, usual: float) -> float:
+        """As reported; the older the report, the nearer to the usual."""
+        return usual + (self.told - usual) * math.exp((self._told_at - now) / self.AGED)
+
+    def ours(self, now: int, usual: float) -> float:
+        """The part that our grants may fill: our slice of it, or what it lends."""
+        lent = self.LEND * (1.0 - self._slice) - self.others(now, usual)
+        return self.level(now) * max(self._slice, lent)
 
 
 class Picker:
     """Draws among engines that fit: the less loaded and the sounder, the likelier."""
 
-    SHARP = 6.0
-    APART = 0.02  # and one on which loads of the table group are to be met, that much less likely
-
-    NEAR = 1.3  # an engine of the own location is this much likelier: crossing costs a little
+    SHARP, APART = 6.0, 0.02  # an engine where loads of the table group are met is so much less likely
 
-    def __init__(self, chance: random.Random, location: int) -> None:
-        self._chance, self._here = chance, location
+    def __init__(self, chance: random.Random) -> None:
+        self._chance, self.names = chance, list[str]()  # all names listed, in order
 
-    def draw(self, now: int, engines: Sequence[Engine], batch: Batch) -> Engine:
-        weights = [
-            e.ledger.cores * self._apart(e, batch) * (self.NEAR if e.entry.location == self._here else 1.0)
-            * math.exp(-self.SHARP * min(e.load() / max(0.05, e.level(now)), 9.0)) for e in engines]
+    def draw(self, now: int, engines: Sequence[Engine], batch: Batch, usual: float) -> Engine:
+        weights = []
+        for engine in engines:
+            load = (engine.others(now, usual) + engine.ledger.used()) / max(0.05, engine.level(now))
+            drawn = math.exp(-self.SHARP * min(load, 9.0))  # past this it would vanish for all alike
+            weights.append(engine.ledger.cores * drawn * self._apart(engine, batch))
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
         """A load holds its table group on its engine: all gateways lean to send loads of a table group to
-        every other engine by name, what would wait for them to the rest. Harms where few engines remain."""
-        group, home = batch.group, (engine.side + batch.arrival.tables) % 2 == 1
-        return self.APART if group.meets_loads() and group.is_load != home else 1.0
+        every other engine by name, what would wait for them to the other. Harms where few engines remain."""
+        if not batch.group.meets_loads():
+            return 1.0
+        home = (bisect_left(self.names, engine.entry.name) + batch.arrival.tables) % 2 == 1
+        return 1.0 if batch.group.is_load == home else self.APART
 
 
 class Door:
@@ -248,27 +231,21 @@
     has cost anything: the longer the wait, the more. May harm a group that earns little for all its work."""
 
     FROM, OVER = 0.1, 0.5  # waits in parts of the shortest goal: nothing is shed at first, all past the sum
-    EVERY, MOST, EASE = 200 * MILLISECOND, 0.95, 0.1  # eased, or it swings between all and nothing
-    KEPT = 200  # arrivals that stand for the traffic
+    MOST, EASE = 0.95, 0.025  # eased at each beat, or it swings between all and nothing
+    KEPT, LEAST = 200, 0.01  # arrivals that stand for the traffic; the least share that is shed
 
     def __init__(self, goal: int) -> None:
-        self._goal = goal
-        self._came: deque[tuple[float, float]] = deque(maxlen=self.KEPT)
-        self._least, self._until = math.inf, 0
-        self.share, self._bar = 0.0, 0.0
+        self._goal, self.share, self._bar = goal, 0.0, 0.0
+        self._came: deque[tuple[float, float]] = deque(maxlen=self.KEPT)  # utility by work, work
 
     def admits(self, utility: float, work: float) -> bool:
         self._came.append((utility / max(1.0, work), work))
-        return self.share < 0.01 or self._came[-1][0] >= self._bar
+        return self._came[-1][0] >= self._bar
 
-    def look(self, now: int, wait: int) -> None:
-        self._least = min(self._least, wait)
-        if now < self._until:
-            return
-        wanted = min(self.MOST, max(0.0, (self._least / self._goal - self.FROM) / self.OVER))
+    def look(self, wait: int) -> None:
+        wanted = min(self.MOST, max(0.0, (wait / self._goal - self.FROM) / self.OVER))
         self.share += (wanted - self.share) * self.EASE
-        self._least, self._until = math.inf, now + self.EVERY
-        self._bar = quantile(self._came, self.share)
+        self._bar = quantile(self._came, self.share) if self.share >= self.LEAST else 0.0
 
 
 class Ration:
@@ -304,14 +281,15 @@
 
 
 class Line:
-    """Held batches, first come first served, each holding nothing; freed room goes to the head. Those bound
-    to some engines stand apart, not to keep the rest waiting while their engines are down."""
+    """Held batches, first come first served, holding nothing; those bound to some engines stand apart."""
 
     def __init__(self) -> None:
-        self._lines: defaultdict[tuple[object, ...], list[Batch]] = defaultdict(list)
+        self._lines: defaultdict[Bounds, list[Batch]] = defaultdict(list)
 
-    def join(self, batch: Batch) -> None:
-        heapq.heappush(self._lines[batch.bound_to()], batch)
+    def join(self, batch: Batch) -> bool:  # whether it stands first: else the line need not be served
+        line = self._lines[batch.bound_to()]
+        heapq.heappush(line, batch)
+        return line[0] is batch
 
     def serve(self, admit: Callable[[Batch], bool]) -> None:
         for bound, line in list(self._lines.items()):
@@ -338,8 +316,6 @@
 
     def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, rank: int) -> None:
         self._gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
-        # One that stands still behind a load uses no core meanwhile: its threads count for half.
-        self.threads = group.threads * (0.5 if group.meets_loads() else 1.0)
         self.key = arrival.key if group.in_order else None
         self.sends: list[Dispatch] = []
         self.held = self.over = False
@@ -355,42 +331,35 @@
 
     def harmless(self) -> bool:
         """Rule 2: whether a pushback may say that trying again does no harm."""
-        return (self.group.effect is Effect.REPEATABLE or not any(send.ran for send in self.sends)
-                or self.group.effect is Effect.REFERENCED and self.group.scope is Scope.ALL)
-
-    def may_go(self, now: int, engine: EngineEntry) -> bool:
-        """Rules 2 and 6: whether a dispatch to this engine is allowed."""
-        group = self.group
-        return ((group.locations is None or engine.location in group.locations)
-                and (group.kinds is None or engine.kind in group.kinds)
-                and (group.effect is Effect.REPEATABLE or not any(
-            group.effect is Effect.ONCE_ONLY or now >= send.sent + group.window - 1
-            or group.scope is Scope.LOCATION and send.engine.entry.location != engine.location
-            or group.scope is Scope.CELL and send.engine.entry.cell != engine.cell
-            for send in self.sends if send.ran)))
-
-    def bound_to(self) -> tuple[object, ...]:
-        group, ran = self.group, [send.engine.entry for send in self.sends if send.ran]
-        confined = ran and group.effect is Effect.REFERENCED and group.scope is not Scope.ALL
-        scope = (ran[0].location if group.scope is Scope.LOCATION else -1 - ran[0].cell) if confined else None
-        return (group.locations, group.kinds, scope)
+        known = self.group.effect is Effect.REFERENCED and self.group.scope is Scope.ALL
+        return known or self.allowed_until() == math.inf
+
+    def allowed_until(self) -> float:
+        """Rule 2: when the last further dispatch may go; all of them may where none so far may have run."""
+        if self.group.effect is Effect.REPEATABLE or not any(send.ran for send in self.sends):
+            return math.inf
+        first = min(send.sent for send in self.sends if send.ran)
+        return first + self.group.window - 1 if self.group.effect is Effect.REFERENCED else -math.inf
+
+    def bound_to(self) -> Bounds:
+        ran = [send.engine.entry for send in self.sends if send.ran]
+        scope = self.group.scope if ran and self.group.effect is Effect.REFERENCED else Scope.ALL
+        locations = (ran[0].location,) if scope is Scope.LOCATION else self.group.locations
+        return Bounds(locations, self.group.kinds, ran[0].cell if scope is Scope.CELL else None)
 
     def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
               report: LoadReport | None) -> None:
         gateway, send, now = self._gateway, self.sends[dispatch], self._gateway.transport.now
         send.out, send.ran, self.over = False, outcome not in NEVER_RAN, self.over or over
-        if outcome is Outcome.TIMED_OUT and not gateway.allowed.cancel:
-            # An engine that can't be told to stop works on: it stays booked for twice as long again.
-            gateway.transport.call_later(min(2 * lasted, 20 * SECOND), lambda: gateway.free(self, send))
-        else:
-            gateway.free(self, send)
+        gateway.pool.change(-send.grant, -self.group.threads, -1)
+        send.engine.ledger.change(-send.grant, -self.group.threads, -1)
         if outcome is Outcome.RETURNED:
             if send.engine.health.lost:
-                send.engine.restarted(send.sent)
+                send.engine.ramp.restart(send.sent)
             gateway.learn(self, work, memory, lasted)
         if outcome in SPOKEN:
-            send.engine.heard(now, report)
-        send.engine.health.ended(now, id(send), outcome, work / self.group.threads)
+            gateway.heard(send.engine, report)
+        send.engine.health.ended(now, id(send), outcome, lasted)
         if outcome in UNSTOPPED and self.key is not None:
             gateway.turns.unsure(now, self.key)
         if self.over:
@@ -413,46 +382,76 @@
 class Gateway:
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
+    # Departure: a gateway keeps to some engines, to hear of each often and that its work does not grow with
+    # the fleet. Each is kept by COVER gateways or more: a few keep all. They are scattered over all.
+    KEPT, COVER, TRIERS = 8, 4, 8  # and so many of them try a sick engine in a second
 
     def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
                  kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
                  ration: RationTerms, order_pause: int, tick: int) -> None:
         self.transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
-        self.allowed, self._cold = allowed, cold
-        self._margin = 2 * tick + BEAT + 1  # kept free before a time limit
+        self.allowed, self._cold, self._margin = allowed, cold, 2 * tick + BEAT + 1  # before a time limit
         self._peaks, self.pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
-        self._picker = Picker(random.Random(seed), place.location)
+        self._picker = Picker(random.Random(seed))
         self._engines, self._limits = dict[int, Engine](), list[tuple[int, Batch]]()
-        self._rank, self._beating, self._beat_at = 0, False, 0
+        self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
+        self._looked_after = dict[int, Engine]()  # engines whose health may change
+        self.pool, self._usual, self._rank, self._beat_at = Ledger(0.0, 0), 1.0, 0, transport.now
+        transport.call_later(BEAT, self._beat)
         if allowed.on_request:
             transport.subscribe()
 
     def listed(self, entries: Sequence[EngineEntry], whole: bool) -> None:
-        for engine in self._engines.values():
-            engine.listed = engine.listed and not whole
+        if whole:
+            for index in sorted(self._engines.keys() - {entry.engine for entry in entries}):
+                self._list(self._engines[index], False)
         for entry in entries:
             if entry.engine not in self._engines:
                 kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
-                self._engines[entry.engine] = Engine(entry, kind, self._cold, self._place.gateways)
+                large = max(group.goal * group.threads for group in self._groups) / 4
+                ramp = Ramp(self._cold, entry.name, kind.cores, self._place, large)
+                self._engines[entry.engine] = Engine(entry, kind, self._place.gateways, ramp)
             engine = self._engines[entry.engine]
             if entry.started:
-                engine.restarted(entry.started)
-            engine.entry, engine.listed = entry, entry.state is EngineState.UP
-        present = [engine for engine in self._engines.values() if engine.listed]
-        for side, engine in enumerate(sorted(present, key=lambda e: e.entry.name)):
-            engine.side = side
+                engine.ramp.restart(entry.started)
+            engine.entry = entry
+            self._list(engine, entry.state is EngineState.UP)
         self.line.serve(self.admit)
 
+    def _list(self, engine: Engine, listed: bool) -> None:
+        if engine.listed == listed:
+            return
+        engine.listed, name = listed, engine.entry.name
+        place, sign = (scatter(name, self._place.number), name, engine), 1 if listed else -1
+        if listed:
+            insort(self._order, place, key=lambda p: p[:2])
+            insort(self._picker.names, name)
+        else:
+            self._order.remove(place)
+            self._picker.names.remove(name)
+        self.pool.memory += sign * engine.ledger.memory
+        self.pool.cores += sign * engine.ledger.cores
+
     def list_failed(self) -> None:
         self.transport.call_later(SECOND, self.transport.subscribe)
 
+    def _kept(self, bounds: Bounds) -> Iterator[Engine]:
+        """The first engines in this gateway's order that are of use, and the sick passed on the way."""
+        sound, now = 0, self.transport.now
+        for _, _, engine in self._order:
+            if bounds.admits(engine.entry):
+                yield engine
+                sound += 1 if engine.health.level >= Health.LOW and engine.ramp.allows(now, 0.0) else 0
+            if sound >= max(self.KEPT, self.COVER * len(self._order) / self._place.gateways):
+                return
+
     def take(self, arrival: Arrival) -> Batch:
         now, group, self._rank = self.transport.now, self._groups[arrival.group], self._rank + 1
         batch = Batch(self, arrival, group, self._rank)
         self._ration.ring.add(now, 1, 0)
-        welcome = self._door.admits(group.utility, self.pace.work(arrival.group, arrival.cost))
-        if not welcome or arrival.time_limit <= now + self._margin:
+        work = self.pace.work(arrival.group, arrival.cost)
+        if not self._door.admits(group.utility, work) or arrival.time_limit <= now + self._margin:
             self.give_up(batch)
             return batch
         if batch.key is not None:
@@ -462,42 +461,51 @@
 
     def admit(self, batch: Batch) -> bool:
         """The ordinary path: size, fit, draw, send. False: none fits, and the batch waits holding nothing."""
-        now, arrival, threads = self.transport.now, batch.arrival, batch.threads
+        now, arrival, threads, usual = self.transport.now, batch.arrival, batch.group.threads, self._usual
         weight = self.pace.weight(arrival.group, arrival.cost)
-        able = [e for e in self._engines.values() if self._able(now, batch, e, weight)]
+        able = [e for e in self._kept(batch.bound_to()) if self._able(now, batch, e, weight)]
         if not able or batch.sends and not self._ration.allows(now):
             return False
         cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
-        fitting = [e for e in able if not e.ledger.running or e.ledger.fits(grant, threads, e.level(now))]
+        # An engine that runs none of ours takes one past its slice, while our grants on all engines together
+        # keep to our part of the fleet: it bounds what all gateways send to idle engines.
+        pooled = not self.pool.running or self.pool.fits(grant, threads, 1.0 / self._place.gateways)
+        parts = [(e.ours(now, usual), e) for e in able]
+        fitting = [e for part, e in parts
+                   if e.ledger.fits(grant, threads, part) or pooled and not e.ledger.running]
         if not fitting:
-            room, freest = max(((e.ledger.room(e.level(now)), e) for e in able), key=lambda pair: pair[0])
+            part, freest = max(parts, key=lambda pair: pair[1].ledger.room(pair[0]))
             bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
-            cut = max(grant * self.CUT, min(grant, room))
-            if now - batch.held_since < bound or not freest.ledger.fits(cut, threads, freest.level(now)):
+            cut = max(grant * self.CUT, min(grant, freest.ledger.room(part)))
+            if now - batch.held_since < bound or not freest.ledger.fits(cut, threads, part):
                 return False
             fitting, grant = [freest], cut
-        engine = self._picker.draw(now, fitting, batch)
-        alone = self.pace.alone(arrival.group, arrival.cost)
-        urgent = self.allowed.priorities and alone < batch.group.goal / 4  # little to do, soon wanted
-        self.transport.grant(arrival.index, round(grant), 2 if urgent else 1)
-        self._ration.ring.add(now, 0, len(batch.sends) > 0)
+        engine = self._picker.draw(now, fitting, batch, usual)
+        light = self.pace.alone(arrival.group, arrival.cost) < batch.group.goal / 4  # soon wanted
+        self.transport.grant(arrival.index, round(grant), 2 if light and self.allowed.priorities else 1)
+        self._ration.ring.add(now, 0, 1 if batch.sends else 0)
         run = self.pace.run(now, arrival.group, arrival.cost)
-        batch.sends.append(Dispatch(engine, grant, now))
+        send = Dispatch(engine, grant, now)
+        batch.sends.append(send)
         batch.held = False
         engine.ledger.change(grant, threads, 1)
+        self.pool.change(grant, threads, 1)
         engine.ramp.sent.add(now, weight)
-        engine.health.sent(now, id(batch.sends[-1]), run, 0.0 if batch.group.meets_loads() else alone)
+        engine.health.sent(now, id(send), run, 0.2 if batch.group.meets_loads() else 1.0)  # may stand still
+        self._looked_after[engine.entry.engine] = engine
         self.transport.dispatch(arrival.index, engine.entry.engine, self._time_out(now, batch, run))
         return True
 
     def _able(self, now: int, batch: Batch, engine: Engine, weight: float) -> bool:
         """Rules 2, 3, 4, 6; and health, or a trial with little at stake: one repeatable batch at a time."""
-        if not engine.listed or not batch.may_go(now, engine.entry) or not engine.ramp.allows(now, weight):
+        if now >= batch.allowed_until() or not engine.ramp.allows(now, weight):
             return False
-        return engine.health.level >= Health.LOW or (
-            batch.group.effect is Effect.REPEATABLE and not engine.ledger.running
-            and now - engine.health.tried >= SECOND)
+        if engine.health.level >= Health.LOW:
+            return True
+        keepers = max(1.0, self._place.gateways * min(1.0, self.KEPT / len(self._order)) / self.TRIERS)
+        trial = batch.group.effect is Effect.REPEATABLE and not engine.ledger.running
+        return trial and now - engine.health.tried >= SECOND * keepers
 
     def _time_out(self, now: int, batch: Batch, run: float) -> int:
         """Until the limit, unless an early end would be conclusive and leave time for another dispatch."""
@@ -510,40 +518,36 @@
         now, arrival, batch.held = self.transport.now, batch.arrival, True
         run, batch.held_since = int(self.pace.run(now, arrival.group, arrival.cost)), now
         batch.give_up_at = min(arrival.time_limit - self._margin, max(batch.goal_at - run, now + BEAT))
-        if batch.group.effect is Effect.REFERENCED:  # past its window it may go nowhere, nor stand in the way
-            ends = [send.sent + batch.group.window for send in batch.sends if send.ran]
-            batch.give_up_at = min([batch.give_up_at, *ends])
+        batch.give_up_at = int(min(batch.give_up_at, batch.allowed_until()))  # nor stand in the way longer
         heapq.heappush(self._limits, (batch.give_up_at, batch))
-        if not self._beating:
-            self._beating, self._beat_at = True, now
-            self.transport.call_later(BEAT, self._beat)
-        if in_turn:
-            self.line.join(batch)
+        if in_turn and self.line.join(batch):
             self.line.serve(self.admit)
 
     def _beat(self) -> None:
-        now, engines = self.transport.now, self._engines.values()
-        fleet = median([e.health.pace for e in engines if e.listed and e.health.pace] or [0.0])
+        now = self.transport.now
         # A gateway that stood still itself heard nothing, and must not lay that on the engines or the line.
-        stalled, self._beat_at = now - self._beat_at > 10 * BEAT, now
-        for engine in engines:
+        stalled, self._beat_at = now - self._beat_at > 4 * BEAT, now
+        for engine in list(self._looked_after.values()):  # those that hold some of ours, or are not sound
             if stalled:
                 engine.health.heard(now)
             before = engine.health.level
-            engine.health.look(now, fleet)
-            engine.ledger.learn(engine.health.pace)
+            engine.health.look(now)
             if (before < Health.LOW) != (engine.health.level < Health.LOW):
                 news = "back in use" if before < Health.LOW else "held back"
                 self.transport.log(f"engine {engine.entry.name} {news}")
+            if engine.health.level >= 1.0 and not engine.ledger.running:
+                del self._looked_after[engine.entry.engine]
         self.line.serve(self.admit)
-        self._door.look(now, 0 if stalled else self.line.wait(now))
+        self._door.look(0 if stalled else self.line.wait(now))
         while self._limits and self._limits[0][0] <= now:
             batch = heapq.heappop(self._limits)[1]
             if batch.held and batch.give_up_at <= now:
                 self.give_up(batch)
-        self._beating = bool(self._limits) or any(e.ledger.running for e in engines)
-        if self._beating:
-            self.transport.call_later(BEAT, self._beat)
+        self.transport.call_later(BEAT, self._beat)
+
+    def heard(self, engine: Engine, report: LoadReport | None) -> None:
+        engine.heard(self.transport.now, report, max(1.0, self.pool.threads / max(1, self.pool.running)))
+        self._usual += (engine.told - self._usual) / 20  # reports that it averages
 
     def learn(self, batch: Batch, work: int, memory: float, lasted: int) -> None:
         now, arrival = self.transport.now, batch.arrival
@@ -554,16 +558,13 @@
         if batch.group.is_load and lasted:
             self._peaks.loaded(arrival.tables)
 
-    def free(self, batch: Batch, send: Dispatch) -> None:
-        send.engine.ledger.change(-send.grant, -batch.threads, -1)
-
     def worth_more(self, batch: Batch) -> bool:
         """Whether another dispatch is allowed and could bring the batch home while it earns something."""
         now, arrival = self.transport.now, batch.arrival
         until = arrival.time_limit - self._margin if batch.group.late_utility else batch.goal_at
         return (len(batch.sends) < self.allowed.most_dispatches and self._ration.allows(now)
                 and now + self.pace.run(now, arrival.group, arrival.cost) / 2 < until
-                and any(e.listed and batch.may_go(now, e.entry) for e in self._engines.values()))
+                and now < batch.allowed_until() and any(True for _ in self._kept(batch.bound_to())))
 
     def give_up(self, batch: Batch) -> None:
         """The final answer, at once; a pushback only where trying again does no harm."""
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -162,6 +162,20 @@
     started: int
 
 
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The engines that a batch may go to, by location, kind and cell; None: all of them."""
+
+    locations: tuple[int, ...] | None
+    kinds: tuple[int, ...] | None
+    cell: int | None
+
+    def admits(self, engine: EngineEntry) -> bool:
+        return ((self.locations is None or engine.location in self.locations)
+                and (self.kinds is None or engine.kind in self.kinds)
+                and (self.cell is None or engine.cell == self.cell))
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """What an engine said of its load; None where it says nothing of the kind."""
