--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -30,7 +30,7 @@
     """Grants from peaks remembered by service group and table group, against what was told of the batches."""
 
     MARGIN = 1.25  # over an expected peak, where one spread of past peaks asks for no more
-    STEP = 1.12  # ladder of buckets: each this much over the one below
+    STEP = math.log(1.12)  # ladder of buckets: each this much over the one below
     KEPT, RUNS = 30 * SECOND, 20  # how long an entry lasts, and the runs that it averages
 
     def __init__(self, groups: int) -> None:
@@ -41,8 +41,7 @@
         estimate, (offset, _, until) = self._told[group], self._shapes.get((group, tables), (0.0, 0, 0))
         margin = max(math.log(self.MARGIN), estimate.spread())
         wanted = estimate.log(told) + margin + (offset if until > now else 0.0)
-        step = math.log(self.STEP)
-        return min(cap, math.exp(step * math.ceil(wanted / step - 1e-9))) if told or estimate.seen else 0.0
+        return min(cap, math.exp(self.STEP * math.ceil(wanted / self.STEP - 1e-9))) if told or estimate.seen else 0.0
 
     def learn(self, now: int, group: int, tables: int, told: float, peak: float) -> None:
         offset, runs, until = self._shapes.get((group, tables), (0.0, 0, 0))
@@ -206,15 +205,18 @@
 
     SHARP, APART = 6.0, 0.02  # an engine where loads of the table group are met is so much less likely
 
-    def __init__(self, chance: random.Random) -> None:
-        self._chance, self.names = chance, list[str]()  # all names listed, in order
+    NEAR = 1.5  # an engine of the own location is this much likelier: crossing costs a little
+
+    def __init__(self, chance: random.Random, location: int) -> None:
+        self._chance, self._here, self.names = chance, location, list[str]()  # all names listed, in order
 
     def draw(self, now: int, engines: Sequence[Engine], batch: Batch, usual: float) -> Engine:
         weights = []
         for engine in engines:
             load = (engine.others(now, usual) + engine.ledger.used()) / max(0.05, engine.level(now))
             drawn = math.exp(-self.SHARP * min(load, 9.0))  # past this it would vanish for all alike
-            weights.append(engine.ledger.cores * drawn * self._apart(engine, batch))
+            near = self.NEAR if engine.entry.location == self._here else 1.0
+            weights.append(engine.ledger.cores * drawn * near * self._apart(engine, batch))
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
@@ -393,7 +395,7 @@
         self.allowed, self._cold, self._margin = allowed, cold, 2 * tick + BEAT + 1  # before a time limit
         self._peaks, self.pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
-        self._picker = Picker(random.Random(seed))
+        self._picker = Picker(random.Random(seed), place.location)
         self._engines, self._limits = dict[int, Engine](), list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
         self._looked_after = dict[int, Engine]()  # engines whose health may change
