Failing engines: errors remembered, trials made when due, what fails counts as held

Errors are kept for 20 s and cleared by a trial that returns; a due trial is drawn as if idle, with the least utility, three a second for all gateways; what an engine fails counts as held in the draw; a restart on the list ends the old process's silence; sharers of the cold budget doubled.

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -41,7 +41,8 @@
         estimate, (offset, _, until) = self._told[group], self._shapes.get((group, tables), (0.0, 0, 0))
         margin = max(math.log(self.MARGIN), estimate.spread())
         wanted = estimate.log(told) + margin + (offset if until > now else 0.0)
-        return min(cap, math.exp(self.STEP * math.ceil(wanted / self.STEP - 1e-9))) if told or estimate.seen else 0.0
+        bucket = math.exp(self.STEP * math.ceil(wanted / self.STEP - 1e-9))
+        return min(cap, bucket) if told or estimate.seen else 0.0
 
     def learn(self, now: int, group: int, tables: int, told: float, peak: float) -> None:
         offset, runs, until = self._shapes.get((group, tables), (0.0, 0, 0))
@@ -118,9 +119,8 @@
         self._budget, self._mine = whole / self._sharers, True
 
     def restart(self, began: int) -> None:
-        if began > self.began:
-            self.began, place = began, self._place
-            self._mine = rank_among(self._name, place.number, place.gateways) < self._sharers
+        self.began, place = began, self._place
+        self._mine = rank_among(self._name, place.number, place.gateways) < self._sharers
 
     def share(self, now: int) -> float:
         age = max(0.0, (now - self.began) / max(1, self._cold.warm_after))
@@ -139,11 +139,12 @@
     QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
     PATIENCE = 3.0  # a dispatch out for this many times its expected run is overdue
     OVERDUE = 2  # overdue dispatches, with nothing heard since, that make an engine silent
+    MEMORY = 20 * SECOND  # of errors, as few gateways hear of an engine often; a trial returned clears it
     RISE = 0.5  # most that the level may recover in a second
     LOW = 0.15  # under this an engine gets one trial batch at a time
 
     def __init__(self) -> None:
-        self._ring = Ring(4 * SECOND, 2, 8)  # ends, errors
+        self._ring = Ring(self.MEMORY, 2, 8)  # ends, errors
         self._out: dict[int, tuple[int, float, float]] = {}  # sent, patience, weight as a sign of silence
         self._heard = self._looked = self._missed = self.tried = 0
         self.lost, self.level = False, 1.0
@@ -160,6 +161,8 @@
             self.lost, self.level = True, 0.0
         elif outcome is Outcome.TIMED_OUT and lasted > patience:
             self._missed += 1
+        elif outcome is Outcome.RETURNED and self.level < self.LOW:
+            self._ring = Ring(self.MEMORY, 2, 8)
         self._ring.add(now, 1, 1 if outcome in FAULTS else 0)
 
     def look(self, now: int) -> None:
@@ -190,8 +193,7 @@
         if shares:
             self.told, self._told_at = max(0.0, max(shares) - self.ledger.used()), now
 
-    def others(self, now: int, usual: float) -> float:
-        """As reported; the older the report, the nearer to the usual."""
+    def others(self, now: int, usual: float) -> float:  # the older the report, the nearer to the usual
         return usual + (self.told - usual) * math.exp((self._told_at - now) / self.AGED)
 
     def ours(self, now: int, usual: float) -> float:
@@ -213,8 +215,10 @@
     def draw(self, now: int, engines: Sequence[Engine], batch: Batch, usual: float) -> Engine:
         weights = []
         for engine in engines:
-            load = (engine.others(now, usual) + engine.ledger.used()) / max(0.05, engine.level(now))
-            drawn = math.exp(-self.SHARP * min(load, 9.0))  # past this it would vanish for all alike
+            # What an engine fails counts as held: one that fails fast reports little load.
+            held = engine.others(now, usual) + engine.ledger.used() + 1.0 - engine.health.level
+            trial = engine.health.level < Health.LOW
+            drawn = 1.0 if trial else math.exp(-self.SHARP * min(held / max(0.05, engine.level(now)), 9.0))
             near = self.NEAR if engine.entry.location == self._here else 1.0
             weights.append(engine.ledger.cores * drawn * near * self._apart(engine, batch))
         return self._chance.choices(engines, weights)[0]
@@ -229,8 +233,7 @@
 
 
 class Door:
-    """Under overload (a line whose head keeps waiting) turns away what earns least for its work, before it
-    has cost anything: the longer the wait, the more. May harm a group that earns little for all its work."""
+    """Under overload turns away what earns least for its work: the longer the line's head waits, the more."""
 
     FROM, OVER = 0.1, 0.5  # waits in parts of the shortest goal: nothing is shed at first, all past the sum
     MOST, EASE = 0.95, 0.025  # eased at each beat, or it swings between all and nothing
@@ -319,8 +322,7 @@
     def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, rank: int) -> None:
         self._gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
         self.key = arrival.key if group.in_order else None
-        self.sends: list[Dispatch] = []
-        self.held = self.over = False
+        self.sends, self.held, self.over = list[Dispatch](), False, False
         self.taken = self.held_since = now = gateway.transport.now
         goal = group.goal + int(group.goal_stretch * gateway.pace.alone(arrival.group, arrival.cost))
         self.goal_at = self.give_up_at = min(arrival.time_limit, now + goal)
@@ -356,8 +358,6 @@
         gateway.pool.change(-send.grant, -self.group.threads, -1)
         send.engine.ledger.change(-send.grant, -self.group.threads, -1)
         if outcome is Outcome.RETURNED:
-            if send.engine.health.lost:
-                send.engine.ramp.restart(send.sent)
             gateway.learn(self, work, memory, lasted)
         if outcome in SPOKEN:
             gateway.heard(send.engine, report)
@@ -386,7 +386,7 @@
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
     # Departure: a gateway keeps to some engines, to hear of each often and that its work does not grow with
     # the fleet. Each is kept by COVER gateways or more: a few keep all. They are scattered over all.
-    KEPT, COVER, TRIERS = 8, 4, 8  # and so many of them try a sick engine in a second
+    KEPT, COVER, TRIERS = 8, 4, 3  # and so many try a sick engine in a second
 
     def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
                  kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
@@ -395,11 +395,11 @@
         self.allowed, self._cold, self._margin = allowed, cold, 2 * tick + BEAT + 1  # before a time limit
         self._peaks, self.pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
-        self._picker = Picker(random.Random(seed), place.location)
-        self._engines, self._limits = dict[int, Engine](), list[tuple[int, Batch]]()
+        self._picker, self._limits = Picker(random.Random(seed), place.location), list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
-        self._looked_after = dict[int, Engine]()  # engines whose health may change
+        self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
         self.pool, self._usual, self._rank, self._beat_at = Ledger(0.0, 0), 1.0, 0, transport.now
+        self._stake = min((g.utility for g in groups if g.effect is Effect.REPEATABLE), default=0.0)
         transport.call_later(BEAT, self._beat)
         if allowed.on_request:
             transport.subscribe()
@@ -411,12 +411,13 @@
         for entry in entries:
             if entry.engine not in self._engines:
                 kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
-                large = max(group.goal * group.threads for group in self._groups) / 4
+                large = max(group.goal * group.threads for group in self._groups) / 8
                 ramp = Ramp(self._cold, entry.name, kind.cores, self._place, large)
                 self._engines[entry.engine] = Engine(entry, kind, self._place.gateways, ramp)
             engine = self._engines[entry.engine]
-            if entry.started:
+            if entry.started > engine.ramp.began:
                 engine.ramp.restart(entry.started)
+                engine.health.heard(self.transport.now)
             engine.entry = entry
             self._list(engine, entry.state is EngineState.UP)
         self.line.serve(self.admit)
@@ -470,8 +471,7 @@
             return False
         cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
-        # An engine that runs none of ours takes one past its slice, while our grants on all engines together
-        # keep to our part of the fleet: it bounds what all gateways send to idle engines.
+        # One that runs none of ours may take it too, while all our grants keep to our part of the fleet.
         pooled = not self.pool.running or self.pool.fits(grant, threads, 1.0 / self._place.gateways)
         parts = [(e.ours(now, usual), e) for e in able]
         fitting = [e for part, e in parts
@@ -506,8 +506,8 @@
         if engine.health.level >= Health.LOW:
             return True
         keepers = max(1.0, self._place.gateways * min(1.0, self.KEPT / len(self._order)) / self.TRIERS)
-        trial = batch.group.effect is Effect.REPEATABLE and not engine.ledger.running
-        return trial and now - engine.health.tried >= SECOND * keepers
+        little = batch.group.effect is Effect.REPEATABLE and batch.group.utility <= self._stake
+        return little and not engine.ledger.running and now - engine.health.tried >= SECOND * keepers
 
     def _time_out(self, now: int, batch: Batch, run: float) -> int:
         """Until the limit, unless an early end would be conclusive and leave time for another dispatch."""
