--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -84,7 +84,7 @@
 class Ledger:
     """Our grants on one engine, or on all; and their threads, as memory alone lets in too many light ones."""
 
-    WIDTH = 2.4  # threads a core: some of them read or write
+    WIDTH = 2.8  # threads a core: some of them read or write
 
     def __init__(self, memory: float, cores: int) -> None:
         self.memory, self.cores = max(1.0, memory), max(1, cores)
@@ -93,13 +93,13 @@
     def room(self, part: float) -> float:
         return self.memory * part - self.granted
 
-    def fits(self, grant: float, threads: int, part: float) -> bool:  # or a wide one would hardly ever fit
+    def fits(self, grant: float, threads: float, part: float) -> bool:  # or a wide one would hardly ever fit
         return grant <= self.room(part) and self.threads + threads / 4 <= self.cores * self.WIDTH * part
 
     def used(self) -> float:
         return max(self.granted / self.memory, self.threads / (self.cores * self.WIDTH))
 
-    def change(self, grant: float, threads: int, batches: int) -> None:
+    def change(self, grant: float, threads: float, batches: int) -> None:
         self.granted = max(0.0, self.granted + grant)
         self.threads, self.running = self.threads + threads, self.running + batches
 
@@ -167,7 +167,7 @@
 
     def look(self, now: int) -> None:
         target = (1.0 - self._ring.total(now, 1) / (self._ring.total(now, 0) + 1.0)) ** 3
-        overdue = sum(weight for sent, patience, weight in self._out.values() if now > sent + patience)
+        overdue = sum(weight * ((now - sent) // patience) for sent, patience, weight in self._out.values())
         if self.lost or self._missed + overdue >= self.OVERDUE and now - self._heard > self.QUIET:
             target = 0.0
         self.level, self._looked = min(target, self.level + self.RISE * (now - self._looked) / SECOND), now
@@ -203,7 +203,7 @@
 
 
 class Picker:
-    """Draws among engines that fit: the less loaded and the sounder, the likelier."""
+    """Draws among engines that fit, less loaded and sounder ones rather: one that fails reports no load."""
 
     SHARP, APART = 6.0, 0.02  # an engine where loads of the table group are met is so much less likely
 
@@ -215,7 +215,6 @@
     def draw(self, now: int, engines: Sequence[Engine], batch: Batch, usual: float) -> Engine:
         weights = []
         for engine in engines:
-            # What an engine fails counts as held: one that fails fast reports little load.
             held = engine.others(now, usual) + engine.ledger.used() + 1.0 - engine.health.level
             trial = engine.health.level < Health.LOW
             drawn = 1.0 if trial else math.exp(-self.SHARP * min(held / max(0.05, engine.level(now)), 9.0))
@@ -321,6 +320,7 @@
 
     def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, rank: int) -> None:
         self._gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
+        self.threads = group.threads * (0.5 if group.meets_loads() else 1.0)  # behind a load it uses no core
         self.key = arrival.key if group.in_order else None
         self.sends, self.held, self.over = list[Dispatch](), False, False
         self.taken = self.held_since = now = gateway.transport.now
@@ -355,8 +355,8 @@
               report: LoadReport | None) -> None:
         gateway, send, now = self._gateway, self.sends[dispatch], self._gateway.transport.now
         send.out, send.ran, self.over = False, outcome not in NEVER_RAN, self.over or over
-        gateway.pool.change(-send.grant, -self.group.threads, -1)
-        send.engine.ledger.change(-send.grant, -self.group.threads, -1)
+        gateway.pool.change(-send.grant, -self.threads, -1)
+        send.engine.ledger.change(-send.grant, -self.threads, -1)
         if outcome is Outcome.RETURNED:
             gateway.learn(self, work, memory, lasted)
         if outcome in SPOKEN:
@@ -464,7 +464,7 @@
 
     def admit(self, batch: Batch) -> bool:
         """The ordinary path: size, fit, draw, send. False: none fits, and the batch waits holding nothing."""
-        now, arrival, threads, usual = self.transport.now, batch.arrival, batch.group.threads, self._usual
+        now, arrival, threads, usual = self.transport.now, batch.arrival, batch.threads, self._usual
         weight = self.pace.weight(arrival.group, arrival.cost)
         able = [e for e in self._kept(batch.bound_to()) if self._able(now, batch, e, weight)]
         if not able or batch.sends and not self._ration.allows(now):
