Workload manager on sockets: clients, engines and the feed around the module

One program (`vanerelay serve`) on Twisted: a machine fed bytes and a thin driver for each protocol, and service.py as the second Transport. The settings moved to terms.py and the bookkeeping of batches to holding.py, both shared with the simulator's adapter.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,8 @@
 import pytest
 
 from vanerelay.adapter.__main__ import Host, main
-from vanerelay.adapter.wire import billed, down, up
+from vanerelay.adapter.wire import billed
+from vanerelay.terms import down, up
 
 PROFILE = {
     "az": 0, "groupSize": 2, "position": 0, "tickUs": 5000, "kinds": ["k"], "unknown": {"x": 1},
--- a/vanerelay/adapter/__main__.py
+++ b/vanerelay/adapter/__main__.py
@@ -5,7 +5,7 @@
 import sys
 from typing import IO, Any
 
-from vanerelay.adapter import wire
+from vanerelay import terms
 from vanerelay.adapter.instance import Instance, Orders
 
 
@@ -18,7 +18,7 @@
 
     def reply(self, message: Any) -> dict[str, Any]:
         orders: Orders = []
-        now = wire.up(message["clockUs"])
+        now = terms.up(message["clockUs"])
         for instance in self._instances.values():
             instance.orders, instance.now = orders, now
         for event in message["input"]:
--- /dev/null
+++ b/vanerelay/cli.py
@@ -0,0 +1,90 @@
+"""The command line: `serve` runs the workload manager, `check` reads a configuration."""
+from __future__ import annotations
+
+import logging
+import sys
+
+import click
+import structlog
+
+from vanerelay import __version__
+
+
+def _log(level: str) -> None:
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+@click.group()
+def main() -> None:
+    """vanerelay, a query gateway: decides what runs, where and with how much memory."""
+
+
+@main.command()
+@click.option("--config", envvar="LB_CONFIG", required=True, help="The configuration, as JSON [LB_CONFIG].")
+@click.option("--listen", envvar="LB_LISTEN", help="HOST:PORT for clients [LB_LISTEN]; else as configured.")
+@click.option("--name", envvar="LB_NAME", help="The name in the log [LB_NAME]; else as configured.")
+@click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
+def serve(config: str, listen: str | None, name: str | None, log_level: str) -> None:
+    """Serves clients until SIGTERM, then answers what it has taken and ends."""
+    _log(log_level)
+    from twisted.internet.main import installReactor
+
+    from vanerelay.net.clock import Clock, Reactor
+
+    clock = Clock()
+    reactor = Reactor(clock)
+    installReactor(reactor)  # type: ignore[no-untyped-call]
+    from vanerelay.net.program import BadStart, Program, read
+
+    try:
+        told = read(config)
+        name = name or str(told.get("name", ""))
+        structlog.contextvars.bind_contextvars(gateway=name)
+        program = Program(reactor, clock, told, listen or str(told.get("listen", "")))
+    except BadStart as fault:
+        click.echo(f"vanerelay: {fault}", err=True)
+        sys.exit(2)
+    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        click.echo(f"vanerelay: configuration {config}: {type(fault).__name__}: {fault}", err=True)
+        sys.exit(2)
+    program.run(name)
+
+
+@main.command()
+@click.argument("config", envvar="LB_CONFIG")
+def check(config: str) -> None:
+    """Reads a configuration and says what it tells, without listening anywhere."""
+    from vanerelay import terms
+    from vanerelay.net import feed
+    from vanerelay.net.program import BadStart, read
+
+    try:
+        told = read(config)
+        groups = terms.service_groups(told["settings"])
+        changes = feed.parse(told["known"], {}, {})
+    except (BadStart, KeyError, TypeError, ValueError, AttributeError) as fault:
+        click.echo(f"vanerelay: {fault}", err=True)
+        sys.exit(2)
+    if isinstance(changes, feed.Unreadable):
+        click.echo(f"vanerelay: the list known at the start: {changes.why}", err=True)
+        sys.exit(2)
+    engines = {member.name for change in changes for member in change.members}
+    click.echo(f"service groups: {', '.join(group.name for group in groups)}")
+    click.echo(f"engines known: {len(engines)}")
+
+
+@main.command()
+def version() -> None:
+    """Says which version this is."""
+    click.echo(f"vanerelay {__version__}")
--- /dev/null
+++ b/vanerelay/holding.py
@@ -0,0 +1,74 @@
+"""What a gateway process remembers of the batches it holds and of the names it meets, on either wire."""
+from __future__ import annotations
+
+from typing import Generic, TypeVar
+
+from vanerelay.decide import Batch
+
+
+class Held:
+    """A batch as its wire names it, its handle, and what is still to come for it."""
+
+    __slots__ = ("batch", "ended", "index", "name", "out")
+
+    def __init__(self, name: str) -> None:
+        self.name, self.index, self.out = name, -1, 0
+        self.batch: Batch | None = None
+        self.ended = False
+
+
+H = TypeVar("H", bound=Held)
+
+
+class Holding(Generic[H]):
+    """All batches held, by a small index that is used again once nothing more can come for its batch."""
+
+    def __init__(self) -> None:
+        self._held: list[H | None] = []
+        self._free: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._held) - len(self._free)
+
+    def open(self, held: H) -> H:
+        if self._free:
+            held.index = self._free.pop()
+            self._held[held.index] = held
+        else:
+            held.index = len(self._held)
+            self._held.append(held)
+        return held
+
+    def at(self, index: int) -> H:
+        held = self._held[index]
+        assert held is not None, "the module named a batch that nothing can come for any more"
+        return held
+
+    def all(self) -> list[H]:
+        return [held for held in self._held if held is not None]
+
+    def settle(self, held: H) -> bool:
+        """Lets go of a batch that was answered and has no dispatch out; whether it did."""
+        if not held.ended or held.out > 0 or held.index < 0:
+            return False
+        self._held[held.index] = None
+        self._free.append(held.index)
+        held.index = -1
+        return True
+
+
+class Names:
+    """Small indices for the names of engines, in the order met; an engine keeps its index for good."""
+
+    def __init__(self) -> None:
+        self._indices: dict[str, int] = {}
+        self._names: list[str] = []
+
+    def index(self, name: str) -> int:
+        index = self._indices.setdefault(name, len(self._names))
+        if index == len(self._names):
+            self._names.append(name)
+        return index
+
+    def name(self, index: int) -> str:
+        return self._names[index]
--- /dev/null
+++ b/vanerelay/net/__init__.py
@@ -0,0 +1,1 @@
+"""The workload manager on sockets: machines fed bytes, thin drivers, the service joining them."""
--- /dev/null
+++ b/vanerelay/net/buffers.py
@@ -0,0 +1,95 @@
+"""Buffers of one size, used again from a pool, for what has come of a message that is not whole yet."""
+from __future__ import annotations
+
+BLOCK = 16_384  # the page's longest result fits three, nearly every message one
+
+
+class Pool:
+    """Blocks not in use; at most `kept` wait here, the rest go back to the system."""
+
+    def __init__(self, kept: int = 64) -> None:
+        self._kept, self._idle, self.taken = kept, list[bytearray](), 0
+
+    def take(self) -> bytearray:
+        self.taken += 1
+        return self._idle.pop() if self._idle else bytearray(BLOCK)
+
+    def give(self, block: bytearray) -> None:
+        self.taken -= 1
+        if len(self._idle) < self._kept:
+            self._idle.append(block)
+
+
+class Gather:
+    """Bytes in the order fed. What stays over from one feed to the next stands in the pool's blocks."""
+
+    def __init__(self, pool: Pool) -> None:
+        self._pool, self._blocks = pool, list[bytearray]()
+        self._start = self._end = 0  # of what is held, counted from the first block's first byte
+        self._fresh, self._at = b"", 0  # what was fed last, and how much of it was read
+
+    def __len__(self) -> int:
+        return self._end - self._start + len(self._fresh) - self._at
+
+    def feed(self, data: bytes) -> None:
+        """Reading takes from `data` itself as long as nothing older is held: most messages come whole."""
+        self.keep()
+        self._fresh, self._at = data, 0
+
+    def keep(self) -> None:
+        """Copies what was not read into blocks; called when the bytes fed are gone through."""
+        rest = memoryview(self._fresh)[self._at:]
+        while rest:
+            place = self._end % BLOCK
+            if self._end == len(self._blocks) * BLOCK:
+                self._blocks.append(self._pool.take())
+            part = rest[:BLOCK - place]
+            self._blocks[-1][place:place + len(part)] = part
+            self._end, rest = self._end + len(part), rest[len(part):]
+        self._fresh, self._at = b"", 0
+
+    def peek(self, size: int) -> bytes | None:
+        """The next bytes, still held; None while fewer are there."""
+        if len(self) < size:
+            return None
+        if self._start == self._end:
+            return bytes(self._fresh[self._at:self._at + size])
+        parts, start, stop = [], self._start, min(self._end, self._start + size)
+        while start < stop:
+            block, place = divmod(start, BLOCK)
+            parts.append(bytes(self._blocks[block][place:place + stop - start]))
+            start += len(parts[-1])
+        missing = size - (stop - self._start)
+        parts.append(self._fresh[self._at:self._at + missing])
+        return b"".join(parts)
+
+    def skip(self, size: int) -> None:
+        held = min(size, self._end - self._start)
+        self._start += held
+        self._at += size - held
+        while self._blocks and (self._start >= BLOCK or self._start == self._end):
+            self._pool.give(self._blocks.pop(0))
+            self._start, self._end = max(0, self._start - BLOCK), max(0, self._end - BLOCK)
+            if not self._blocks:
+                self._start = self._end = 0
+
+    def read(self, size: int) -> bytes | None:
+        data = self.peek(size)
+        if data is not None:
+            self.skip(size)
+        return data
+
+    def line(self, most: int) -> bytes | None:
+        """The next line without its end, if one ends within `most` bytes; None while none does."""
+        head = self.peek(min(most, len(self))) or b""
+        end = head.find(b"\r\n")
+        if end < 0:
+            return None
+        self.skip(end + 2)
+        return head[:end]
+
+    def drop(self) -> None:
+        while self._blocks:
+            self._pool.give(self._blocks.pop())
+        self._start = self._end = 0
+        self._fresh, self._at = b"", 0
--- /dev/null
+++ b/vanerelay/net/engines.py
@@ -0,0 +1,304 @@
+"""Engines: the driver that connects to them, and the attempts that run over its connections."""
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+import structlog
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import TimeoutError as ConnectTimeOut
+from twisted.internet.interfaces import IPullProducer
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from vanerelay.net.buffers import Pool
+from vanerelay.net.ends import Cause, End, Stage
+from vanerelay.net.resp import Exchange
+
+GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+
+log = structlog.get_logger()
+
+
+class Attempt:
+    """One dispatch on its way. `done` fires once, with its End; it never fails."""
+
+    __slots__ = ("body", "done", "grant", "group", "ident", "line", "patience", "timer")
+
+    def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes) -> None:
+        self.ident, self.group, self.patience, self.grant, self.body = ident, group, patience, grant, body
+        self.done: Deferred[End] = Deferred()
+        self.line: Line | None = None
+        self.timer: Any = None
+
+    def end(self, end: End) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = self.line = None
+        self.done.callback(end)
+
+    def give_up(self, cause: Cause) -> None:
+        if self.line is not None:
+            self.line.give_up(self, cause)
+
+
+@implementer(IPullProducer)
+class EngineProtocol(Protocol):
+    """Hands bytes over, and is told by the transport each time that all handed to it has left."""
+
+    transport: Any
+
+    def __init__(self, line: Line) -> None:
+        self.line = line
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self.transport.registerProducer(self, False)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.line.received(data)
+
+    def connectionLost(self, reason: Failure = GONE) -> None:
+        self.line.lost(Cause.LOST)
+
+    def resumeProducing(self) -> None:
+        self.line.written.clear()
+
+    def stopProducing(self) -> None:
+        pass
+
+    def close(self) -> None:
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def abort(self) -> None:
+        self.transport.unregisterProducer()
+        self.transport.abortConnection()
+
+
+class Line:
+    """One connection to an engine, from the first call on: attempts wait here until it is up."""
+
+    def __init__(self, peer: Peer) -> None:
+        self._peer, self._most = peer, peer.most
+        self.exchange = Exchange(peer.pool, peer.most, peer.may_cancel)
+        self.waiting: deque[Attempt] = deque()
+        self.attempts: dict[bytes, Attempt] = {}
+        self.written: list[bytes] = []  # ids handed to the transport and not known to have left whole
+        self.used_at = peer.reactor.seconds()
+        self._protocol: EngineProtocol | None = None
+        self.over = self._closing = False
+        where = TCP4ClientEndpoint(peer.reactor, peer.host, peer.port, timeout=peer.connect_s)
+        factory: Any = Factory.forProtocol(lambda: EngineProtocol(self))
+        calling: Deferred[Any] = where.connect(factory)
+        calling.addCallbacks(self._up, self._failed)
+        calling.addErrback(lambda fault: log.error("a connection met a fault", fault=fault.getTraceback()))
+
+    @property
+    def busy(self) -> int:
+        return len(self.waiting) + len(self.exchange.open)
+
+    def takes(self, ident: bytes) -> bool:
+        if self.over or self._closing:
+            return False
+        if self._protocol is None:
+            return len(self.waiting) < self._most and all(a.ident != ident for a in self.waiting)
+        return self.exchange.takes(ident)
+
+    def send(self, attempt: Attempt) -> None:
+        attempt.line, self.used_at = self, self._peer.reactor.seconds()
+        if self._protocol is None:
+            self.waiting.append(attempt)
+            return
+        self.attempts[attempt.ident] = attempt
+        self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.body)
+        self.written.append(attempt.ident)
+        self._flush()
+
+    def give_up(self, attempt: Attempt, cause: Cause) -> None:
+        if attempt in self.waiting:
+            self.waiting.remove(attempt)
+            attempt.end(End(cause, Stage.NOT_CONNECTED))
+            return
+        stage = self.exchange.give_up(attempt.ident)
+        del self.attempts[attempt.ident]
+        self._flush()
+        self._retire()
+        attempt.end(End(cause, stage))
+
+    def probe(self, tag: bytes) -> None:
+        if self._protocol is not None and not self.over:
+            self.exchange.health(tag)
+            self._flush()
+
+    def received(self, data: bytes) -> None:
+        for ident, end in self.exchange.feed(data):
+            self.used_at = self._peer.reactor.seconds()
+            self.attempts.pop(ident).end(end)
+        self._flush()
+        self._retire()
+
+    def lost(self, cause: Cause) -> None:
+        if self.over:
+            return
+        self.over = True
+        self._peer.lines.remove(self)
+        last = self.written[-1] if self.written else None
+        for ident, stage in self.exchange.lost().items():
+            # The transport did not report that all had left, so its last command did not leave whole.
+            partly = ident == last and stage is Stage.WRITTEN
+            self.attempts.pop(ident).end(End(cause, Stage.PARTLY_WRITTEN if partly else stage))
+        self._fail_waiting(cause)
+
+    def close(self, at_once: bool) -> None:
+        """Takes nothing new; ends when the last answer is in, or now: then all that is out is lost."""
+        self._closing = True
+        if self._protocol is None:
+            if at_once:
+                self.lost(Cause.LOST)
+        elif at_once:
+            self._protocol.abort()
+            self.lost(Cause.LOST)
+        else:
+            self._retire()
+
+    def _retire(self) -> None:
+        worn = self._closing or self.exchange.worn
+        if worn and not self.busy and not self.over and self._protocol is not None:
+            self.over = True
+            self._peer.lines.remove(self)
+            self._protocol.close()
+
+    def _up(self, protocol: EngineProtocol) -> None:
+        self._protocol = protocol
+        if self.over:
+            protocol.abort()
+            return
+        waiting, self.waiting = self.waiting, deque()
+        for attempt in waiting:
+            self.send(attempt)
+        self._retire()
+
+    def _failed(self, fault: Failure) -> None:
+        if not self.over:
+            self.over = True
+            self._peer.lines.remove(self)
+            timed_out = isinstance(fault.value, ConnectTimeOut)
+            self._fail_waiting(Cause.CONNECT_TIME_OUT if timed_out else Cause.REFUSED)
+
+    def _fail_waiting(self, cause: Cause) -> None:
+        waiting, self.waiting = self.waiting, deque()
+        for attempt in waiting:
+            attempt.end(End(cause, Stage.NOT_CONNECTED))
+
+    def _flush(self) -> None:
+        if self._protocol is not None and self.exchange.out and not self.over:
+            self._protocol.transport.writeSequence(self.exchange.out)
+            self.exchange.out = []
+
+
+class Peer:
+    """One engine process at its address: its connections, each filled before the next is called for."""
+
+    def __init__(self, reactor: Any, host: str, port: int, pool: Pool, most: int, may_cancel: bool,
+                 connect_s: float, idle_s: float) -> None:
+        self.reactor, self.host, self.port, self.pool = reactor, host, port, pool
+        self.most, self.may_cancel, self.connect_s = most, may_cancel, connect_s
+        # The engine closes at idle_s; ours is closed earlier by what a connection may take to come up.
+        self._idle_s = max(idle_s / 2, idle_s - connect_s)
+        self.lines: list[Line] = []
+
+    def send(self, attempt: Attempt) -> None:
+        self.sweep()
+        line = next((line for line in self.lines if line.takes(attempt.ident)), None)
+        if line is None:
+            line = Line(self)
+            self.lines.append(line)
+        line.send(attempt)
+
+    def sweep(self) -> None:
+        """Closes what has been idle so long that the engine is about to."""
+        now = self.reactor.seconds()
+        for line in list(self.lines):
+            if not line.busy and now - line.used_at >= self._idle_s:
+                line.close(False)
+
+    def probe(self, tag: bytes) -> None:
+        if self.lines:
+            self.lines[0].probe(tag)
+
+    def close(self, at_once: bool) -> None:
+        for line in list(self.lines):
+            line.close(at_once)
+
+
+class Engines:
+    """All engines by the module's indices."""
+
+    def __init__(self, reactor: Any, pool: Pool, most: int, may_cancel: bool, connect_s: float,
+                 idle_s: float) -> None:
+        self._reactor, self._pool, self._most, self._may_cancel = reactor, pool, most, may_cancel
+        self._connect_s, self._idle_s = connect_s, idle_s
+        self._peers: dict[int, Peer] = {}
+        self._addresses: dict[str, int] = {}
+        self._lives: dict[int, tuple[str, int]] = {}
+
+    def listed(self, engine: int, address: str, started: int, gone: bool) -> None:
+        """A line of the list. A connection made to one process never serves the next at its address."""
+        if gone:
+            # What it still runs may yet be answered.
+            self._drop(engine, at_once=False)
+            return
+        if self._lives.get(engine) == (address, started):
+            return
+        self._drop(engine, at_once=True)
+        before = self._addresses.get(address)
+        if before is not None:
+            self._drop(before, at_once=True)
+        host, _, port = address.rpartition(":")
+        self._lives[engine], self._addresses[address] = (address, started), engine
+        self._peers[engine] = Peer(self._reactor, host, int(port), self._pool, self._most, self._may_cancel,
+                                   self._connect_s, self._idle_s)
+
+    def only(self, there: set[int]) -> None:
+        """A whole list: what it does not name is gone."""
+        for engine in self._peers.keys() - there:
+            self._drop(engine, at_once=False)
+
+    def _drop(self, engine: int, at_once: bool) -> None:
+        peer, life = self._peers.get(engine), self._lives.get(engine)
+        if peer is not None:
+            peer.close(at_once)
+        if at_once and life is not None:
+            self._peers.pop(engine, None)
+            del self._lives[engine]
+            if self._addresses.get(life[0]) == engine:
+                del self._addresses[life[0]]
+
+    def send(self, engine: int, attempt: Attempt, time_out_s: float) -> None:
+        peer = self._peers.get(engine)
+        if peer is None:
+            self._reactor.callLater(0, attempt.end, End(Cause.REFUSED, Stage.NOT_CONNECTED))
+            return
+        attempt.timer = self._reactor.callLater(time_out_s, attempt.give_up, Cause.TIME_OUT)
+        peer.send(attempt)
+
+    def probe(self, engine: int) -> None:
+        peer = self._peers.get(engine)
+        if peer is not None:
+            peer.probe(b"probe")
+
+    def sweep(self) -> None:
+        for peer in self._peers.values():
+            peer.sweep()
+
+    def connections(self) -> int:
+        return sum(len(peer.lines) for peer in self._peers.values())
+
+    def close(self) -> None:
+        for peer in self._peers.values():
+            peer.close(True)
--- /dev/null
+++ b/vanerelay/net/program.py
@@ -0,0 +1,116 @@
+"""Starts and ends the workload manager: its configuration, its parts, and the order they go in."""
+from __future__ import annotations
+
+import gc
+import json
+from typing import Any
+
+import structlog
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
+
+from vanerelay import terms
+from vanerelay.net.buffers import Pool
+from vanerelay.net.clients import Clients
+from vanerelay.net.clock import UNITS, Clock
+from vanerelay.net.engines import Engines
+from vanerelay.net.peers import Peers
+from vanerelay.net.roster import Roster
+from vanerelay.net.service import Service
+
+# After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
+# counts what comes within 0.7 s.
+CONNECTIONS_S, REQUESTS_S = 0.5, 0.7
+
+log = structlog.get_logger()
+
+
+class BadStart(Exception):
+    """Why the program cannot start, in one line."""
+
+
+def read(path: str) -> dict[str, Any]:
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as fault:
+        raise BadStart(f"configuration {path}: {fault}") from None
+    missing = [name for name in ("limits", "feed", "known", "settings") if not isinstance(told, dict)
+               or name not in told]
+    if missing:
+        raise BadStart(f"configuration {path}: nothing told under {', '.join(missing)}")
+    assert isinstance(told, dict)
+    return told
+
+
+class Program:
+    """The parts of one workload manager, each made with its own few settings."""
+
+    def __init__(self, reactor: Any, clock: Clock, told: dict[str, Any], listen: str) -> None:
+        self._reactor, self._clock = reactor, clock
+        host, _, port = listen.rpartition(":")
+        profile = told["settings"]
+        limits = profile.get("limits") or {}
+        allowed = terms.allowances(profile)
+        connect_s = terms.down(limits.get("dialTimeoutUs") or 250_000) / UNITS
+        idle_s = terms.down(limits.get("connIdleUs") or 30_000_000) / UNITS
+        pool = Pool()
+        engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, connect_s, idle_s)
+        peers = None
+        if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
+            peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
+        self.service = Service(reactor, clock, profile, engines, peers)
+        self.service.open_gateway(int(str(told.get("seed", "0")), 16), profile)
+        names = profile.get("failureDomains") or [], profile.get("kinds") or []
+        locations, kinds = ({name: row for row, name in enumerate(listed)} for listed in names)
+        self.roster = Roster(reactor, pool, told["feed"], locations, kinds, connect_s, self.service.listed)
+        self.clients = Clients(reactor, self.service, pool, int(told["limits"].get("sockets") or 1024))
+        self._engines, self._drained = engines, Deferred[None]()
+        wrong = self.roster.apply(told["known"])
+        if wrong is not None:
+            raise BadStart(f"the list known at the start: {wrong}")
+        try:
+            self.clients.listen(host, int(port))
+            if peers is not None:
+                peers.open(reactor)
+        except (CannotListenError, ValueError, OverflowError) as fault:
+            raise BadStart(f"cannot listen: {fault}") from None
+
+    def run(self, name: str) -> None:
+        self.roster.follow()
+        self._sweep()
+        self._reactor.addSystemEventTrigger("before", "shutdown", self._drain)
+        log.info("serving", name=name)
+        # What was made until now stays for good: collecting it again and again would cost the loop its time.
+        gc.collect()
+        gc.freeze()
+        self._reactor.run()
+        log.info("ended", name=name)
+
+    def _sweep(self) -> None:
+        self._engines.sweep()
+        self._reactor.callLater(1.0, self._sweep)
+
+    def _drain(self) -> Deferred[None]:
+        """SIGTERM: what was taken is answered, and connections may come for as long as the page says."""
+        log.info("draining", open=self.service.open)
+        self.clients.each(lambda client: client.last())
+        self._reactor.callLater(CONNECTIONS_S, self._no_connections)
+        self._reactor.callLater(REQUESTS_S, self._no_requests)
+        return self._drained
+
+    def _no_connections(self) -> None:
+        self.clients.stop_listening()
+        self.clients.each(lambda client: client.last())
+
+    def _no_requests(self) -> None:
+        self.clients.each(lambda client: client.end_when_answered())
+        self._await_answers()
+
+    def _await_answers(self) -> None:
+        if self.clients.number:
+            self._reactor.callLater(0.01, self._await_answers)
+            return
+        self.roster.stop()
+        self._engines.close()
+        self._drained.callback(None)
--- /dev/null
+++ b/vanerelay/net/resp.py
@@ -0,0 +1,197 @@
+"""The conversation with an engine on one connection, without the connection: RESP arrays in, ends out."""
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from vanerelay.net.buffers import Gather, Pool
+from vanerelay.net.ends import Cause, End, Stage
+
+RESULT_MOST, PAGE_MOST = 48_000, 6_000  # bytes of a result, and of one page of it
+_LINE_MOST, _PARTS_MOST = 32, 8  # no line of a header is longer, no answer has more parts
+_BULK_MOST = 65_536  # well past a page with its fields: what is longer is no answer
+
+
+class Unreadable(Exception):
+    """What came is not the protocol; it stays within this file."""
+
+
+class BulkReader:
+    """Fed bytes in any pieces, gives arrays of bulk strings; None once what came is not readable."""
+
+    def __init__(self, pool: Pool) -> None:
+        self._held, self._wanted, self._parts, self.broken = Gather(pool), 0, list[bytes](), False
+        self._size = -1  # of the bulk string that is awaited
+
+    def feed(self, data: bytes) -> Iterator[list[bytes] | None]:
+        self._held.feed(data)
+        try:
+            while not self.broken and self._step():
+                if len(self._parts) == self._wanted:
+                    parts, self._parts, self._wanted = self._parts, [], 0
+                    yield parts
+        except Unreadable:
+            self.drop()
+            yield None
+        self._held.keep()
+
+    def drop(self) -> None:
+        self.broken = True
+        self._held.drop()
+
+    def _step(self) -> bool:
+        """Reads the next header or string; whether there was one."""
+        if self._wanted == 0:
+            count = self._header(b"*", _PARTS_MOST)
+            self._wanted = count or 0
+            if count == 0:
+                raise Unreadable
+            return count is not None
+        if self._size < 0:
+            size = self._header(b"$", _BULK_MOST)
+            self._size = -1 if size is None else size
+            return size is not None
+        bulk = self._held.read(self._size + 2)
+        if bulk is None:
+            return False
+        if bulk[-2:] != b"\r\n":
+            raise Unreadable
+        self._parts.append(bulk[:-2])
+        self._size = -1
+        return True
+
+    def _header(self, sign: bytes, most: int) -> int | None:
+        line = self._held.line(_LINE_MOST)
+        if line is None:
+            if len(self._held) >= _LINE_MOST:
+                raise Unreadable
+            return None
+        if line[:1] != sign or not line[1:].isdigit() or int(line[1:]) > most:
+            raise Unreadable
+        return int(line[1:])
+
+
+def command(*parts: bytes) -> bytes:
+    told = [b"*%d\r\n" % len(parts)]
+    told.extend(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+    return b"".join(told)
+
+
+def fields(text: bytes) -> dict[str, str]:
+    if text == b"-" or not text:
+        return {}
+    return dict(pair.partition("=")[::2] for pair in text.decode("utf-8", "replace").split(","))
+
+
+@dataclass(slots=True)
+class _Pages:
+    """An answer in the making: what its first page told, and the pages that are there."""
+
+    told: dict[str, str]
+    total: int
+    pages: dict[int, bytes] = field(default_factory=dict)
+    size: int = 0
+
+    def put(self, index: int, page: bytes) -> bool:
+        """Whether the page is one that was missing, and its size and the result's are within what is told."""
+        if not 0 <= index < self.total or index in self.pages or len(page) > PAGE_MOST:
+            return False
+        self.pages[index] = page
+        self.size += len(page)
+        return self.size <= RESULT_MOST
+
+
+class Exchange:
+    """Dispatches open on one connection. Answers name only an id, so an id is sent here once at a time, and
+    the id of a dispatch given up stays taken: a late answer must not pass for that of a later dispatch."""
+
+    def __init__(self, pool: Pool, most: int, may_cancel: bool) -> None:
+        self._reader, self._most, self._may_cancel = BulkReader(pool), most, may_cancel
+        self.open: dict[bytes, _Pages | None] = {}
+        self._given_up: dict[bytes, bool] = {}  # id: whether the engine may still have it open
+        self.out: list[bytes] = []  # what is to be written, in this order
+
+    @property
+    def worn(self) -> bool:
+        """Too many ids stay taken: the connection had better be replaced."""
+        return len(self._given_up) >= self._most or self._reader.broken
+
+    def takes(self, ident: bytes) -> bool:
+        running = len(self.open) + sum(self._given_up.values())
+        return running < self._most and not self.worn and ident not in self.open and (
+            ident not in self._given_up)
+
+    def serve(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes) -> None:
+        told = b"sort=%b,patience=%d" % (group, patience)
+        if grant > 0:
+            told += b",pool=%d" % grant
+        self.open[ident] = None
+        self.out.append(command(b"serve", ident, told, body))
+
+    def give_up(self, ident: bytes) -> Stage:
+        """How far the dispatch had come that nobody waits for any more."""
+        pages = self.open.pop(ident)
+        self._given_up[ident] = not self._may_cancel and pages is None
+        if pages is not None:
+            self.out.append(command(b"release", ident))
+        elif self._may_cancel:
+            self.out.append(command(b"cancel", ident))
+        return Stage.WRITTEN if pages is None else Stage.PAGES_MISSING
+
+    def health(self, tag: bytes) -> None:
+        self.out.append(command(b"health", tag))
+
+    def feed(self, data: bytes) -> Iterator[tuple[bytes, End]]:
+        for parts in self._reader.feed(data):
+            if parts is None:
+                # Nothing after this can be told apart: all that is open here may have run.
+                for ident in list(self.open):
+                    yield ident, self._end(ident, Cause.UNREADABLE)
+            elif len(parts) == 4:
+                ident = parts[0]
+                if ident in self.open:
+                    end = self._answered(ident, parts[1], fields(parts[2]), parts[3])
+                    if end is not None:
+                        yield ident, end
+                else:
+                    self._given_up.pop(ident, None)
+
+    def lost(self) -> dict[bytes, Stage]:
+        """How far all that is open had come when the connection ended."""
+        stages = {i: Stage.WRITTEN if p is None else Stage.PAGES_MISSING for i, p in self.open.items()}
+        self.open.clear()
+        self._reader.drop()
+        return stages
+
+    def _answered(self, ident: bytes, word: bytes, told: dict[str, str], body: bytes) -> End | None:
+        pages = self.open[ident]
+        if word == b"OK" and pages is None:
+            total = told.get("total", "")
+            if not total.isdigit() or not 1 <= int(total) <= RESULT_MOST:
+                return self._end(ident, Cause.UNREADABLE)
+            pages = self.open[ident] = _Pages(told, int(total))
+            if not pages.put(0, body):
+                return self._end(ident, Cause.UNREADABLE)
+            self.out.extend(command(b"read", ident, b"%d" % page) for page in range(1, pages.total))
+        elif word == b"ROWS" and pages is not None:
+            index = told.get("index", "")
+            if not index.isdigit() or not pages.put(int(index), body):
+                return self._end(ident, Cause.UNREADABLE)
+        else:
+            cause = {b"BUSY": Cause.BUSY, b"ERR": Cause.ERR, b"VOID": Cause.VOID}.get(word, Cause.UNREADABLE)
+            return self._end(ident, cause, told)
+        if len(pages.pages) < pages.total:
+            return None
+        if pages.total > 1:
+            self.out.append(command(b"release", ident))
+        del self.open[ident]
+        rows = b"".join(pages.pages[page] for page in range(pages.total))
+        return End(Cause.OK, Stage.WHOLE, rows, pages.told)
+
+    def _end(self, ident: bytes, cause: Cause, told: dict[str, str] | None = None) -> End:
+        pages = self.open.pop(ident)
+        if cause is Cause.UNREADABLE:
+            self._given_up[ident] = True
+        if pages is not None:
+            self.out.append(command(b"release", ident))
+        return End(cause, Stage.WRITTEN if pages is None else Stage.PAGES_MISSING, b"", told or {})
--- /dev/null
+++ b/vanerelay/net/service.py
@@ -0,0 +1,269 @@
+"""Joins clients, engines and the list to one Gateway: the second Transport, beside the adapter's instance."""
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from vanerelay import terms
+from vanerelay.decide import Gateway
+from vanerelay.holding import Held, Holding, Names
+from vanerelay.interface import Arrival, EngineState, Outcome
+from vanerelay.net import ends, feed, frames
+from vanerelay.net.clients import ClientConnection
+from vanerelay.net.clock import UNITS, Clock
+from vanerelay.net.ends import Cause, End, Stage
+from vanerelay.net.engines import Attempt, Engines
+from vanerelay.net.peers import Peers
+from vanerelay.net.statements import table_group
+
+log = structlog.get_logger()
+
+LOADS = ("inflight", "queue", "util", "latency_ms", "qps", "eps")  # the page's words for reported values
+REPORTED = dict(zip(LOADS, ("busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"),
+                    strict=True))
+
+
+class Request(Held):
+    """A batch on the sockets: who waits for it, and what goes to an engine."""
+
+    __slots__ = ("attempts", "body", "client", "grant", "group", "guard", "limit", "service", "stream")
+
+    def __init__(self, service: Service, client: ClientConnection, stream: int, name: str, group: str,
+                 limit: int, body: bytes) -> None:
+        super().__init__(name)
+        self.service, self.client, self.stream = service, client, stream
+        self.group, self.limit, self.body = group.encode(), limit, body
+        self.attempts: list[Attempt | None] = []
+        self.grant = 0
+        self.guard: Any = None
+
+    def left(self) -> None:
+        self.service.left(self)
+
+
+class Service:
+    """The Transport of the Gateway on sockets. `open_gateway` is called once its parts stand."""
+
+    def __init__(self, reactor: Any, clock: Clock, profile: dict[str, Any], engines: Engines,
+                 peers: Peers | None) -> None:
+        self._reactor, self._clock, self._engines, self._peers = reactor, clock, engines, peers
+        self._groups = {group.name: row for row, group in enumerate(terms.service_groups(profile))}
+        self._customers = {str(o.get("name")): row for row, o in enumerate(profile.get("orgs") or [])}
+        limits = profile.get("limits") or {}
+        self._most_open = int(limits.get("maxOpen") or 0)
+        self._most_dispatches = terms.allowances(profile).most_dispatches
+        self._reported = terms.report_names(profile)
+        self._names = Names()
+        self._holding: Holding[Request] = Holding()
+        self._gateway: Gateway | None = None
+        self._listed = False
+        self.open = 0
+        self.now = clock.now()
+
+    def open_gateway(self, seed: int, profile: dict[str, Any]) -> None:
+        self._gateway = terms.open_gateway(self, seed, profile)
+
+    # What clients bring.
+
+    def ready(self) -> bool:
+        return self._listed and self._gateway is not None
+
+    def request(self, client: ClientConnection, frame: frames.Frame) -> Request | None:
+        """Takes a batch; None where it was answered on the spot."""
+        told, body = frame.fields, frame.body
+        self.now = self._clock.now()
+        group = self._groups.get(told.get("service", ""))
+        customer = self._customers.get(told.get("project", "")) if self._customers else 0
+        allow, effort, space = (_figure(told, name) for name in ("allow", "effort", "space"))
+        name = told.get("ref", "")
+        known = group is not None and customer is not None and allow is not None and name
+        if not known or effort is None or space is None:
+            client.answer(frame.stream, frames.ERRORED, {}, b"")
+            return None
+        if self._most_open and self.open >= self._most_open or self._gateway is None:
+            client.answer(frame.stream, frames.PUSHED_BACK, {}, b"")
+            return None
+        assert group is not None and customer is not None and allow is not None
+        # The client counts from when it sent, which nobody tells: it was after the last look at the sockets.
+        limit = self._clock.looked + int(allow * 10)
+        held = Request(self, client, frame.stream, name, told["service"], limit, body)
+        self._holding.open(held)
+        self.open += 1
+        held.guard = self._reactor.callLater(max(0, limit - self.now) / UNITS, self._overdue, held)
+        client.open[frame.stream] = held
+        arrival = Arrival(
+            index=held.index, group=group, customer=customer, key=None, time_limit=limit,
+            cost=int(math.ceil(effort * 10)), memory=space, is_retry=False,
+            tables=table_group(body.decode("utf-8", "replace")))
+
+        def take() -> None:
+            if self._gateway is not None:
+                held.batch = self._gateway.take(arrival)
+
+        self._call(held, take)
+        self._settle(held)
+        return None if held.ended else held
+
+    def left(self, held: Request) -> None:
+        """Its client no longer waits; what is out still ends."""
+        if not held.ended:
+            self._finish(held)
+            if held.batch is not None:
+                self._call(held, held.batch.left)
+        self._settle(held)
+
+    def _overdue(self, held: Request) -> None:
+        """The last guard of rule 1: whatever the module made of it, a batch is answered at its time limit."""
+        held.guard = None
+        if not held.ended:
+            self._answer(held, frames.ERRORED, {}, b"")
+            if held.batch is not None:
+                self._call(held, held.batch.left)
+        self._settle(held)
+
+    # What the list brings.
+
+    def listed(self, change: feed.Change) -> None:
+        entries, there = [], set()
+        for member in change.members:
+            engine = self._names.index(member.name)
+            there.add(engine)
+            self._engines.listed(
+                engine, member.address, member.started, member.state is EngineState.GONE)
+            entries.append(member.entry(engine))
+        if change.whole:
+            self._engines.only(there)
+        self._listed = True
+        if self._gateway is not None:
+            self._call(None, self._gateway.listed, entries, change.whole)
+
+    # What engines bring.
+
+    def _ended(self, end: End, held: Request, number: int, sent: int) -> None:
+        outcome = ends.outcome(end)
+        held.out -= 1
+        held.attempts[number] = None
+        if outcome is Outcome.RETURNED and not held.ended:
+            self._answer(held, frames.RETURNED, {}, end.rows)
+        if held.batch is not None:
+            work, memory = _told(end.told, "elapsed"), _told(end.told, "rss")
+            report = terms.load_report(self._reported, _report(end.told.get("l", "")))
+            self._call(held, held.batch.ended, number, outcome, self._clock.now() - sent, held.ended,
+                       round(work * 10), memory, report)
+        self._settle(held)
+
+    # Bookkeeping.
+
+    def _call(self, held: Request | None, method: Callable[..., None], *values: Any) -> bool:
+        """Calls the module. A fault in it is logged, and the batch at hand is answered all the same."""
+        self.now = self._clock.now()
+        try:
+            method(*values)
+        except Exception:
+            log.exception("the decision module met a fault")
+            if held is not None and not held.ended:
+                self._answer(held, frames.ERRORED, {}, b"")
+            return False
+        return True
+
+    def _finish(self, held: Request) -> None:
+        held.ended = True
+        self.open -= 1
+        if held.guard is not None:
+            held.guard.cancel()
+            held.guard = None
+
+    def _answer(self, held: Request, code: int, fields: dict[str, str], body: bytes) -> None:
+        self._finish(held)
+        held.client.answer(held.stream, code, fields, body)
+
+    def _settle(self, held: Request) -> None:
+        self._holding.settle(held)
+
+    # What the module calls out: the Transport.
+
+    def dispatch(self, batch: int, engine: int, time_out: int) -> None:
+        held = self._holding.at(batch)
+        number = len(held.attempts)
+        left = held.limit - self.now
+        wait = left if time_out == 0 else min(time_out, left)
+        attempt = Attempt(held.name.encode(), held.group, max(1, wait // 10), held.grant, held.body)
+        held.attempts.append(attempt)
+        held.out += 1
+        attempt.done.addCallback(self._ended, held, number, self.now)
+        attempt.done.addErrback(self._fault)
+        if held.ended or wait <= 0 or number >= self._most_dispatches:
+            self._reactor.callLater(0, attempt.end, End(Cause.OVER, Stage.NOT_CONNECTED))
+        else:
+            self._engines.send(engine, attempt, wait / UNITS)
+
+    def _fault(self, fault: Any) -> None:
+        log.error("an attempt's end met a fault", fault=fault.getTraceback())
+
+    def grant(self, batch: int, memory: float, priority: int) -> None:
+        # The page has no word for a priority: engines on sockets run all alike.
+        self._holding.at(batch).grant = round(memory)
+
+    def push_back(self, batch: int, retry_after: int) -> None:
+        held = self._holding.at(batch)
+        if not held.ended:
+            cooldown = {"cooldown": str(retry_after // 10)} if retry_after > 0 else {}
+            self._answer(held, frames.PUSHED_BACK, cooldown, b"")
+
+    def error(self, batch: int) -> None:
+        held = self._holding.at(batch)
+        if not held.ended:
+            self._answer(held, frames.ERRORED, {}, b"")
+
+    def cancel(self, batch: int, dispatch: int) -> None:
+        attempt = self._holding.at(batch).attempts[dispatch]
+        if attempt is not None:
+            self._reactor.callLater(0, attempt.give_up, Cause.CANCELLED)
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        if self._peers is not None:
+            self._peers.tell(peer, data)
+
+    def probe(self, engine: int) -> None:
+        self._engines.probe(engine)
+
+    def subscribe(self) -> None:
+        """The list is followed from the start, asked or not."""
+
+    def call_later(self, delay: int, callback: Callable[[], None]) -> None:
+        self._reactor.callLater(max(0, delay) / UNITS, self._due, delay, callback)
+
+    def _due(self, delay: int, callback: Callable[[], None]) -> None:
+        if not self._call(None, callback):
+            # Its own next call may be lost with the fault, and without its beat a gateway stands still.
+            self._reactor.callLater(max(0, delay) / UNITS, self._due, delay, callback)
+
+    def log(self, text: str) -> None:
+        log.info(text)
+
+
+def _figure(told: dict[str, str], name: str) -> float | None:
+    """A figure as told, 0 where it is not; None where it cannot be used."""
+    try:
+        value = float(told.get(name, "nan" if name == "allow" else "0"))
+    except ValueError:
+        return None
+    return value if 0.0 <= value < 1e9 else None
+
+
+def _told(told: dict[str, str], name: str) -> float:
+    return _figure(told, name) or 0.0
+
+
+def _report(text: str) -> dict[str, float]:
+    values = {}
+    for pair in text.split(";"):
+        name, _, value = pair.partition(":")
+        try:
+            values[REPORTED.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return values
--- /dev/null
+++ b/vanerelay/terms.py
@@ -0,0 +1,147 @@
+"""The settings, one JSON object on both wires, turned into the interface's types. Nothing here chooses."""
+from __future__ import annotations
+
+from typing import Any
+
+from vanerelay.decide import Gateway
+from vanerelay.interface import (
+    Allowances,
+    ColdStart,
+    Effect,
+    LoadReport,
+    MachineKind,
+    Place,
+    RationTerms,
+    Scope,
+    ServiceGroup,
+    Shortage,
+    Transport,
+)
+
+MICROS = 100  # microseconds in one unit of the module's time
+
+EFFECTS = {"pure": Effect.REPEATABLE, "token": Effect.REFERENCED, "side_effect": Effect.ONCE_ONLY}
+SCOPES = {"all": Scope.ALL, "zone": Scope.LOCATION, "cell": Scope.CELL}
+SHORTAGES = {"queue": Shortage.WAIT, "trim": Shortage.SHRINK, "swap": Shortage.PAGE}
+REPORTED = {"busy_reqs": "running", "pending": "waiting", "cpu_share": "cores_busy"}
+EXTRAS = {"share of memory granted": "memory_granted", "share of disks busy": "disks_busy"}
+
+
+def down(micros: float) -> int:
+    """Microseconds to module time, rounded down."""
+    return int(micros // MICROS)
+
+
+def up(micros: float) -> int:
+    """Microseconds to module time, rounded up."""
+    return -int(-micros // MICROS)
+
+
+def service_groups(profile: dict[str, Any]) -> list[ServiceGroup]:
+    info = profile.get("familyInfo") or {}
+
+    def listed(name: str, row: int, default: Any) -> Any:
+        values = info.get(name) or []
+        return values[row] if row < len(values) else default
+
+    return [
+        ServiceGroup(
+            name=str(c.get("name", row)),
+            goal=down(c["aimUs"]),
+            goal_stretch=float(c.get("aimStretch") or 0.0),
+            time_limit=down(c["deadlineUs"]),
+            utility=float(c.get("importance", 1.0)),
+            late_utility=float(c.get("lateWorth") or 0.0),
+            effect=EFFECTS[c["semantics"]],
+            scope=SCOPES[c.get("dedupScope") or "all"],
+            window=down(c.get("windowUs") or 0),
+            in_order=bool(c.get("inTurn")),
+            locations=None if c.get("staysIn") is None else tuple(c["staysIn"]),
+            kinds=None if c.get("kindsOnly") is None else tuple(c["kindsOnly"]),
+            threads=int(listed("parallelism", row, 1)),
+            is_load=bool(listed("writesTables", row, False)),
+            waits_for_loads=bool(listed("waitsForLoads", row, False)),
+        )
+        for row, c in enumerate(profile["classes"])
+    ]
+
+
+def machine_kinds(profile: dict[str, Any]) -> list[MachineKind]:
+    info = profile.get("familyInfo") or {}
+    cores, memory = info.get("cpuOfKind") or [], info.get("memoryByKindMb") or []
+    return [
+        MachineKind(
+            int(cores[row]) if row < len(cores) else 0, float(memory[row]) if row < len(memory) else 0.0)
+        for row in range(len(profile.get("kinds") or []))
+    ]
+
+
+def place(profile: dict[str, Any]) -> Place:
+    return Place(
+        int(profile.get("position", 0)), max(1, int(profile.get("groupSize", 1))), int(profile.get("az", 0))
+    )
+
+
+def allowances(profile: dict[str, Any]) -> Allowances:
+    limits, info = profile.get("limits") or {}, profile.get("familyInfo") or {}
+    return Allowances(
+        most_dispatches=int(limits.get("maxAttempts", 1)),
+        cancel=bool(limits.get("cancel")),
+        copies=bool(limits.get("secondCopies")),
+        probes=bool(limits.get("probes")),
+        peers=bool(limits.get("peers")),
+        retry_times=bool(limits.get("retryAfter")),
+        longest_retry_time=down(limits.get("maxRetryAfterUs") or 0),
+        grants=bool(info.get("takesGrants")),
+        most_grant=float(info.get("grantCap") or 1.0),
+        priorities=bool(info.get("lanesCount")),
+        tells_cost=bool(info.get("bills")),
+        shortage=SHORTAGES[info.get("memoryShort") or "queue"],
+        on_request=profile.get("discovery") == "on_request",
+    )
+
+
+def cold_start(profile: dict[str, Any]) -> ColdStart:
+    rules = profile.get("safety") or {}
+    return ColdStart(
+        float(rules.get("coldFrom") or 1.0),
+        up(rules.get("coldUs") or 0),
+        float(rules.get("fallMultiple") or 1.0),
+        up(rules.get("overloadForUs") or 0),
+    )
+
+
+def ration_terms(profile: dict[str, Any]) -> RationTerms:
+    rules = profile.get("safety") or {}
+    return RationTerms(
+        up(rules.get("ratioSpanUs") or 0),
+        int(rules.get("minExtra") or 0),
+        float(rules.get("extraRatio") or 0.0),
+    )
+
+
+def order_pause(profile: dict[str, Any]) -> int:
+    return up((profile.get("safety") or {}).get("orderPauseUs") or 0)
+
+
+def report_names(profile: dict[str, Any]) -> dict[str, str]:
+    """The wire's names of reported values against the fields of LoadReport."""
+    info = profile.get("familyInfo") or {}
+    names = dict(REPORTED)
+    for wire_name, key in (("x0", "reportX0"), ("x1", "reportX1")):
+        if info.get(key) in EXTRAS:
+            names[wire_name] = EXTRAS[info[key]]
+    return names
+
+
+def load_report(names: dict[str, str], values: dict[str, Any] | None) -> LoadReport | None:
+    if not values:
+        return None
+    return LoadReport(**{names[k]: float(v) for k, v in values.items() if k in names and v is not None})
+
+
+def open_gateway(transport: Transport, seed: int, profile: dict[str, Any]) -> Gateway:
+    """The decision module with its own few settings each, whichever wire brought them."""
+    return Gateway(
+        transport, seed, service_groups(profile), machine_kinds(profile), place(profile), allowances(profile),
+        cold_start(profile), ration_terms(profile), order_pause(profile), up(profile.get("tickUs") or 0))
