Tests of the machines and of the program on sockets; bounds on descriptors and statements

What Twisted logs of faults now goes through structlog.

Engines' connections are bounded by the descriptors left, statements held by the memory told; a read that filled its buffer counts what follows as having come as early; events of unknown kinds count in the numbering; unknown locations and kinds are none that a group may be bound to.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,8 +1,22 @@
-"""A transport that remembers, and short ways to make a gateway and its batches."""
+"""A transport that remembers, short ways to make a gateway and its batches, and stand-ins on sockets."""
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import heapq
+import http.server
+import json
+import os
+import random
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+import urllib.parse
+from collections.abc import Callable, Sequence
+from pathlib import Path
 from typing import Any
 
 from vanerelay.decide import Batch, Gateway
@@ -23,6 +37,8 @@
     Shortage,
 )
 
+ROOT = Path(__file__).resolve().parent.parent
+
 GROUP = ServiceGroup(
     "g", SECOND, 2.0, 10 * SECOND, 1.0, 0.0, Effect.REPEATABLE, Scope.ALL, 5 * SECOND, False, None, None,
     1, False, False)
@@ -78,3 +94,240 @@
 
 def entry(index: int, **other: Any) -> EngineEntry:
     return dataclasses.replace(EngineEntry(index, f"e{index}", 0, 0, 0, EngineState.UP, 1.0, 0), **other)
+
+
+# Stand-ins on loopback sockets for what a workload manager speaks to, and the program itself.
+
+LONG = 30.0  # seconds that any wait may take before the test fails; no test takes them as long as it passes
+PAUSE = 0.02
+
+
+def until(condition: Callable[[], Any], what: str) -> Any:
+    """Waits for a condition, however fast the machine is."""
+    end = time.monotonic() + LONG
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(PAUSE)
+    raise AssertionError(f"did not come: {what}")
+
+
+class Engine:
+    """Answers by a script: called with each batch's connection and id. Commands are kept as they came."""
+
+    def __init__(self, script: Callable[[Engine, socket.socket, str], None], port: int = 0) -> None:
+        self.script, self.commands, self.pages = script, list[list[str]](), dict[str, list[bytes]]()
+        self.listener = socket.create_server(("127.0.0.1", port))
+        self.port, self.connections = self.listener.getsockname()[1], list[socket.socket]()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                self.connections.append(connection)
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError, ValueError), connection, connection.makefile("rb") as file:
+            while line := file.readline():
+                parts = []
+                for _ in range(int(line[1:])):
+                    parts.append(file.read(int(file.readline()[1:]) + 2)[:-2])
+                self.commands.append([part.decode() for part in parts])
+                word, ident = self.commands[-1][:2]
+                if word == "serve":
+                    self.script(self, connection, ident)
+                elif word == "read" and ident in self.pages:
+                    page = int(self.commands[-1][2])
+                    self.say(connection, ident, "ROWS", f"index={page}", self.pages[ident][page])
+
+    def say(self, connection: socket.socket, ident: str, word: str, told: str = "-",
+            body: bytes = b"") -> None:
+        parts = [ident.encode(), word.encode(), told.encode(), body]
+        connection.sendall(b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts))
+
+    def returns(self, connection: socket.socket, ident: str,
+                pages: Sequence[bytes] = (b"a\tb\tc\n",)) -> None:
+        self.pages[ident] = list(pages)
+        told = f"total={len(pages)},elapsed=5.5,rss=40,l=queue:0;x0:0.1;x1:0.1"
+        self.say(connection, ident, "OK", told, pages[0])
+
+    def served(self) -> list[str]:
+        return [command[1] for command in self.commands if command[0] == "serve"]
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        for end in (self.listener, *self.connections):
+            reset(end)
+
+
+def reset(connection: socket.socket) -> None:
+    """Ends a connection as a dying process does."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+    connection.close()
+
+
+class Feed:
+    """The control feed: a long poll over a list of events. `spoil` holds answers to give first."""
+
+    def __init__(self) -> None:
+        self.events, self.spoil, self.asked, feed = list[dict[str, Any]](), list[bytes](), list[int](), self
+        self.news = threading.Condition()
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:
+                query = urllib.parse.parse_qs(urllib.parse.urlsplit(self.path).query)
+                held, wait = int(query["SUB"][0]), int(query["wait"][0]) / 1000
+                with feed.news:
+                    feed.asked.append(held)
+                    feed.news.notify_all()
+                    if feed.spoil:
+                        self.wfile.write(feed.spoil.pop(0))
+                        self.close_connection = True
+                        return
+                    feed.news.wait_for(lambda: len(feed.events) > held, wait)
+                    told = json.dumps({"n": len(feed.events), "events": feed.events[held:]}).encode()
+                self.send_response(200)
+                self.send_header("Transfer-Encoding", "chunked")
+                self.end_headers()
+                for part in (told[:7], told[7:]):
+                    self.wfile.write(b"%x\r\n%b\r\n" % (len(part), part))
+                self.wfile.write(b"0\r\n\r\n")
+
+            def log_message(self, *_: Any) -> None:
+                pass
+
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, args=(PAUSE,), daemon=True).start()
+
+    def tell(self, *rows: dict[str, Any], complete: bool = False) -> int:
+        with self.news:
+            number = len(self.events) + 1
+            self.events.append({"n": number, "members": {
+                "revision": number, "complete": complete, "members": list(rows)}})
+            self.news.notify_all()
+        return number
+
+    def heard(self, number: int) -> None:
+        """Waits until the workload manager asks for what comes after this event."""
+        until(lambda: number in self.asked, f"a poll past event {number}")
+
+
+def member(engine: Engine | int, name: str = "s-1", phase: str = "SERVING",
+           started: int = 0) -> dict[str, Any]:
+    port = engine if isinstance(engine, int) else engine.port
+    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "here", "flavor": "k", "cell": 0,
+            "phase": phase, "size": 1, "up_since_ms": started}
+
+
+class Client:
+    """Speaks frames over one connection."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.socket = socket.create_connection(address, LONG)
+        self.file = self.socket.makefile("rb")
+
+    def send(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    def ask(self, stream: int, ref: str, service: str = "look", allow: str = "20000", body: str = "SELECT 1",
+            **other: str) -> None:
+        told = {"service": service, "ref": ref, "allow": allow, "project": "acme", "effort": "50",
+                "space": "40", **other}
+        fields = b"".join(bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode()
+                          for n, v in told.items())
+        payload = bytes((len(told),)) + fields + body.encode()
+        self.send(struct.pack(">IBI", 5 + len(payload), 2, stream) + payload)
+
+    def read(self) -> tuple[int, int, bytes] | None:
+        """Type, stream and payload of the next frame; None once the connection ended."""
+        with contextlib.suppress(ConnectionError):
+            head = self.file.read(9)
+            if len(head) == 9:
+                size, kind, stream = struct.unpack(">IBI", head)
+                return kind, stream, self.file.read(size - 5)
+        return None
+
+    def answer(self) -> tuple[int, int, dict[str, str], bytes]:
+        """Stream, code, fields and body of the next answer."""
+        frame = self.read()
+        assert frame is not None and frame[0] == 4, frame
+        _, stream, payload = frame
+        fields, at = {}, 2
+        for _ in range(payload[1]):
+            end = at + 1 + payload[at]
+            size = int.from_bytes(payload[end:end + 2], "big")
+            fields[payload[at + 1:end].decode()] = payload[end + 2:end + 2 + size].decode()
+            at = end + 2 + size
+        return stream, payload[0], fields, payload[at:]
+
+
+SERVICES = {
+    "classes": [
+        {"name": "look", "aimUs": 2000000, "deadlineUs": 20000000, "importance": 1, "semantics": "pure"},
+        {"name": "load", "aimUs": 2000000, "deadlineUs": 20000000, "importance": 1,
+         "semantics": "side_effect"},
+    ],
+    "orgs": [{"name": "acme", "share": 1.0, "quotaPerS": 1000}],
+    "kinds": ["k"], "failureDomains": ["here"], "az": 0, "groupSize": 1, "position": 0, "tickUs": 5000,
+    "familyInfo": {"memoryByKindMb": [32768.0], "cpuOfKind": [16], "parallelism": [1, 1], "grantCap": 0.4,
+                   "takesGrants": True, "reportX0": "share of memory granted", "bills": True},
+    "limits": {"maxAttempts": 3, "maxOpen": 1000, "multiplex": 32, "dialTimeoutUs": 250000,
+               "connIdleUs": 30000000, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 2000000},
+    "safety": {"coldFrom": 0.3, "coldUs": 1000, "fallMultiple": 4.0, "overloadForUs": 2000000},
+}
+
+
+def free_address() -> str:
+    """A loopback address that hardly anybody else asks for, with a port that the system chose."""
+    host = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}.{random.randint(1, 254)}"
+    with socket.create_server((host, 0)) as listener:
+        return f"{host}:{listener.getsockname()[1]}"
+
+
+class Node:
+    """The program, started as operators start it."""
+
+    def __init__(self, folder: Path, feed: Feed, *rows: dict[str, Any], limits: dict[str, Any] | None = None,
+                 **limits_told: Any) -> None:
+        self.listen = free_address()
+        host, _, port = self.listen.rpartition(":")
+        self.address, self.feed = (host, int(port)), feed
+        feed.tell(*rows, complete=True)
+        told = {
+            "name": "n0", "listen": self.listen, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **limits_told},
+            "feed": f"127.0.0.1:{feed.server.server_address[1]}",
+            "known": {"n": len(feed.events), "events": list(feed.events)},
+            "settings": {**SERVICES, "limits": {**SERVICES["limits"], **(limits or {})}}}
+        self.config = folder / "config.json"
+        self.config.write_text(json.dumps(told))
+        self.log = folder / "log"
+        self.process = start(self.config, self.log, LB_NAME="n0", LB_LISTEN=self.listen)
+        until(self._ready, "readiness")
+
+    def _ready(self) -> bool:
+        assert self.process.poll() is None, self.log.read_text()
+        with contextlib.suppress(OSError):
+            client = self.client()
+            client.send(struct.pack(">IBI", 6, 16, 0) + b"\0")
+            return client.read() == (32, 0, b"\0\0")
+        return False
+
+    def client(self) -> Client:
+        return Client(self.address)
+
+
+def start(config: Path, log: Path, **environment: str) -> subprocess.Popen[bytes]:
+    with log.open("wb") as out:
+        return subprocess.Popen(
+            [sys.executable, "-m", "vanerelay", "serve"], cwd=ROOT, stdout=out, stderr=out,
+            env={**os.environ, "LB_CONFIG": str(config), **environment})
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,340 @@
+"""The program, started as operators start it, between stand-ins on loopback sockets."""
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import struct
+
+import pytest
+
+from tests.helpers import Engine, Feed, Node, member, reset, start, until
+
+
+@pytest.fixture
+def started(tmp_path):
+    """Starts nodes and engines, and ends them whatever the test came to."""
+    made = []
+
+    def node(*rows, feed=None, **options):
+        made.append(Node(tmp_path, feed or Feed(), *rows, **options))
+        return made[-1]
+
+    def engine(script, **options):
+        made.append(Engine(script, **options))
+        return made[-1]
+
+    node.engine = engine
+    yield node
+    for one in made:
+        if isinstance(one, Node):
+            one.process.kill()
+            one.process.wait()
+            one.feed.server.shutdown()
+            one.feed.server.server_close()
+        else:
+            one.close()
+
+
+def returns(engine, connection, ident):
+    engine.returns(connection, ident)
+
+
+def says(word):
+    return lambda engine, connection, ident: engine.say(connection, ident, word)
+
+
+def silent(engine, connection, ident):
+    pass
+
+
+def resets(engine, connection, ident):
+    reset(connection)
+
+
+def resets_between_pages(engine, connection, ident):
+    engine.say(connection, ident, "OK", "total=3,elapsed=1,rss=1", b"a\tb\tc\n")
+    reset(connection)
+
+
+def rambles(engine, connection, ident):
+    connection.sendall(b"what is this\r\n" * 4)
+
+
+def loses_a_page(engine, connection, ident):
+    engine.say(connection, ident, "OK", "total=2,elapsed=1,rss=1", b"a\tb\tc\n")
+    engine.say(connection, ident, "ERR")
+
+
+def test_a_batch_of_several_pages_is_returned_unaltered(started):
+    pages = [b"x\ty\tz\r\n" * 700, b"\xc3\xa4\t*4\t$1\n", b"", b"q\tr\ts\n" * 900]
+    engine = started.engine(lambda e, c, i: e.returns(c, i, pages))
+    node = started(member(engine))
+    client = node.client()
+    client.ask(1, "9b1f03aa5c7e2d41", body="SELECT * FROM sales_17.orders")
+    assert client.answer() == (1, 0, {}, b"".join(pages))
+    serve = engine.commands[0]
+    assert serve[:2] == ["serve", "9b1f03aa5c7e2d41"] and serve[3] == "SELECT * FROM sales_17.orders"
+    told = dict(pair.split("=") for pair in serve[2].split(","))
+    assert told["sort"] == "look" and 0 < int(told["patience"]) <= 20000 and int(told["pool"]) > 0
+    until(lambda: ["release", "9b1f03aa5c7e2d41"] in engine.commands, "the release of the pages")
+
+
+@pytest.mark.parametrize(("script", "service", "code", "dispatches"), [
+    (says("BUSY"), "load", 1, 3), (says("VOID"), "load", 1, 3), (says("ERR"), "load", 2, 1),
+    (resets, "load", 2, 1), (resets_between_pages, "load", 2, 1), (loses_a_page, "load", 2, 1),
+    (rambles, "load", 2, 1), (says("NONSENSE"), "load", 2, 1),
+    (says("ERR"), "look", 1, 3), (resets, "look", 1, 3), (loses_a_page, "look", 1, 3),
+])
+def test_what_may_have_run_is_dispatched_again_only_where_that_does_no_harm(
+        started, script, service, code, dispatches):
+    engine = started.engine(script)
+    client = started(member(engine)).client()
+    client.ask(1, "a1", service)
+    stream, got, fields, body = client.answer()
+    assert (stream, got, body) == (1, code, b"") and ("cooldown" in fields) == (code == 1)
+    assert 1 <= len(engine.served()) <= dispatches and set(engine.served()) == {"a1"}
+    client.ask(2, "a2", service="nobody knows it")
+    assert client.answer()[:2] == (2, 2)  # the program and the connection go on
+
+
+def test_silence_ends_at_the_time_limit_with_one_answer(started):
+    engine = started.engine(silent)
+    client = started(member(engine)).client()
+    client.ask(1, "a1", "load", allow="600")
+    assert client.answer()[:2] == (1, 2)
+    until(lambda: ["cancel", "a1"] in engine.commands, "the cancel")
+    assert engine.served() == ["a1"]
+
+
+def test_a_once_only_batch_goes_on_where_a_refused_connection_proves_that_it_never_ran(started):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        closed = listener.getsockname()[1]
+    engine = started.engine(returns)
+    client = started(member(closed, "s-0"), member(engine, "s-1")).client()
+    for stream in range(1, 9):
+        client.ask(stream, f"a{stream}", "load")
+    assert sorted(client.answer()[:2] for _ in range(8)) == [(n, 0) for n in range(1, 9)]
+    assert sorted(engine.served()) == [f"a{n}" for n in range(1, 9)]
+
+
+def test_a_drain_heard_on_the_feed_is_heeded(started):
+    one, two = started.engine(returns), started.engine(returns)
+    node = started(member(one, "s-1"), member(two, "s-2"))
+    node.feed.heard(node.feed.tell(member(one, "s-1", "DRAINING")))
+    client = node.client()
+    for stream in range(1, 21):
+        client.ask(stream, f"a{stream}")
+        assert client.answer()[:2] == (stream, 0)
+    assert one.served() == [] and len(two.served()) == 20
+
+
+@pytest.mark.parametrize("spoiled", [
+    b"", b"nonsense\r\n\r\n", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nno json", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+])
+def test_a_feed_that_answers_nonsense_is_asked_again_and_the_list_stays(started, spoiled):
+    feed, one, two = Feed(), started.engine(returns), started.engine(returns)
+    feed.spoil.extend([spoiled, spoiled])
+    node = started(member(one, "s-1"), feed=feed)
+    client = node.client()
+    client.ask(1, "a1")
+    assert client.answer()[:2] == (1, 0)
+    feed.heard(feed.tell(member(one, "s-1", "DELETED"), member(two, "s-2")))
+    client.ask(2, "a2")
+    assert client.answer()[:2] == (2, 0) and two.served() == ["a2"]
+
+
+def test_an_old_connection_never_serves_the_next_process_at_its_address(started):
+    """What is out on a connection to a process that the list has replaced is lost; nothing goes there."""
+    old = started.engine(silent)
+    node = started(member(old))
+    client = node.client()
+    client.ask(1, "a1", "load")
+    until(old.served, "the dispatch")
+    old.script = returns
+    node.feed.heard(node.feed.tell(member(old, started=1_700_000_000_000)))
+    assert client.answer()[:2] == (1, 2)
+    client.ask(2, "a2")
+    assert client.answer()[:2] == (2, 0) and len(old.connections) == 2
+
+
+def test_a_new_engine_takes_over_an_address(started):
+    one = started.engine(returns)
+    node = started(member(one, "s-1"))
+    client = node.client()
+    client.ask(1, "a1")
+    client.answer()
+    node.feed.heard(node.feed.tell(member(one, "s-1", "DELETED"), member(one, "s-2")))
+    client.ask(2, "a2")
+    assert client.answer()[:2] == (2, 0) and len(one.connections) == 2
+
+
+def test_nothing_is_sent_to_a_client_that_has_left_a_stream(started):
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    client = started(member(engine)).client()
+    client.ask(1, "a1")
+    client.ask(2, "a2")
+    until(lambda: len(held) == 2, "both dispatches")
+    client.send(struct.pack(">IBI", 5, 8, 1))
+    client.send(struct.pack(">IBI", 6, 16, 0) + b"\0")
+    assert client.read() == (32, 0, b"\0\0")  # so the leaving was read
+    for connection, ident in sorted(held, key=lambda pair: pair[1]):
+        engine.returns(connection, ident)
+    assert client.answer()[:2] == (2, 0)
+
+
+def test_a_connection_that_goes_takes_its_batches_with_it(started):
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    node = started(member(engine))
+    gone, other = node.client(), node.client()
+    gone.ask(1, "a1")
+    until(lambda: held, "the dispatch")
+    reset(gone.socket)
+    other.ask(1, "b1")
+    until(lambda: len(held) == 2, "the other's dispatch")
+    for connection, ident in held:
+        engine.returns(connection, ident)
+    assert other.answer()[:2] == (1, 0)
+
+
+@pytest.mark.parametrize("data", [
+    b"\0\0\0\4\2\0\0\0\1", b"\xff" * 20, struct.pack(">IBI", 6, 4, 1) + b"\0", struct.pack(">IBI", 5, 2, 9),
+    struct.pack(">IBI", 9, 2, 9) + b"\1\3ab", struct.pack(">IBI", 6, 2, 0) + b"\0",
+    struct.pack(">IBI", 6, 2, 1) + b"\0",
+])
+def test_malformed_bytes_end_their_connection_and_no_other(started, data):
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    node = started(member(engine))
+    bad, good = node.client(), node.client()
+    bad.ask(1, "a1")
+    good.ask(1, "b1")
+    until(lambda: len(held) == 2, "both dispatches")
+    bad.send(data)
+    assert bad.answer()[:2] == (0, 2)
+    for connection, ident in held:
+        engine.returns(connection, ident)
+    assert bad.answer()[:2] == (1, 0) and bad.read() is None  # what was taken is answered first
+    assert good.answer()[:2] == (1, 0)
+    good.ask(2, "b2")
+    until(lambda: len(held) == 3, "one more dispatch")
+
+
+@pytest.mark.parametrize("told", [
+    {"service": "none"}, {"project": "none"}, {"allow": ""}, {"allow": "soon"}, {"allow": "-5"},
+    {"allow": "nan"}, {"effort": "much"}, {"space": "inf"}, {"ref": ""},
+])
+def test_fields_that_cannot_be_used_get_an_errored_answer(started, told):
+    engine = started.engine(returns)
+    client = started(member(engine)).client()
+    client.ask(1, **{"ref": "a1", **told})
+    assert client.answer() == (1, 2, {}, b"")
+    client.ask(2, "a2")
+    assert client.answer()[:2] == (2, 0) and engine.served() == ["a2"]
+
+
+@pytest.mark.parametrize(("limits", "asked", "least"), [({"maxOpen": 2}, 5, 3), ({}, 35, 3)])
+def test_what_is_open_is_bounded(started, limits, asked, least):
+    """Past the told number, of all connections or of one, a batch is pushed back at once."""
+    engine = started.engine(silent)
+    client = started(member(engine), limits=limits).client()
+    for stream in range(1, asked + 1):
+        client.ask(stream, f"a{stream}")
+    pushed = [client.answer()[:2] for _ in range(least)]
+    assert pushed == [(stream, 1) for stream in range(asked - least + 1, asked + 1)]
+
+
+def test_idle_connections_go_before_the_share_of_descriptors_runs_out(started):
+    engine = started.engine(returns)
+    node = started(member(engine), sockets=48)  # clients hold 16 at most
+    idle = [node.client() for _ in range(16)]
+    idle[0].ask(1, "a1")
+    assert idle[0].answer()[:2] == (1, 0)
+    late = node.client()
+    late.ask(1, "a2")
+    assert late.answer()[:2] == (1, 0)
+    assert idle[1].read() is None  # the longest idle; the one used since stays
+    idle[0].ask(2, "a3")
+    assert idle[0].answer()[:2] == (2, 0)
+
+
+def test_engines_get_no_more_connections_than_descriptors_are_left(started):
+    engine = started.engine(silent)
+    node = started(member(engine), limits={"multiplex": 1}, sockets=48)  # 48 - 16 - 16 are left
+    clients = [node.client() for _ in range(2)]
+    for client in clients:
+        for stream in range(1, 33):
+            client.ask(stream, f"{clients.index(client)}-{stream}")
+    until(lambda: len(engine.served()) >= 16, "as many dispatches as there may be connections")
+    # One more is not said to have found an engine dead: it waits or is pushed back, and the rest go on.
+    assert len(engine.connections) <= 16 and node.process.poll() is None
+
+
+def test_a_termination_answers_what_was_taken_and_ends_well(started):
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    node = started(member(engine))
+    client = node.client()
+    client.ask(1, "a1")
+    until(lambda: held, "the dispatch")
+    node.process.send_signal(signal.SIGTERM)
+    assert client.read() == (64, 0, b"")
+    late = node.client()  # connections may come for a while
+    late.ask(1, "b1")
+    until(lambda: len(held) == 2, "the late dispatch")
+    for connection, ident in held:
+        engine.returns(connection, ident)
+    assert client.answer()[:2] == (1, 0) and late.answer()[:2] == (1, 0)
+    assert node.process.wait(30) == 0
+
+
+def test_a_killed_one_comes_back_under_its_address(started, tmp_path):
+    engine = started.engine(returns)
+    node = started(member(engine))
+    client = node.client()
+    client.ask(1, "a1")
+    client.answer()
+    node.process.kill()
+    node.process.wait()
+    node.process = start(node.config, node.log)
+    until(node._ready, "readiness again")
+
+
+def test_it_listens_only_where_it_is_told(started):
+    node = started(member(started.engine(returns)))
+    with open(f"/proc/{node.process.pid}/net/tcp") as file:
+        rows = [line.split() for line in file][1:]
+    inodes = set()
+    for link in (f"/proc/{node.process.pid}/fd/{n}" for n in range(64)):
+        try:
+            inodes.add(__import__("os").readlink(link).removeprefix("socket:[").removesuffix("]"))
+        except OSError:
+            continue
+    listening = [row[1] for row in rows if row[3] == "0A" and row[9] in inodes]
+    host, port = node.address
+    assert listening == [f"{struct.unpack('<I', socket.inet_aton(host))[0]:08X}:{port:04X}"]
+
+
+@pytest.mark.parametrize("spoil", [
+    None, "", "no json", "[]", "{}", '{"limits":{},"feed":"x:1","known":{},"settings":{}}',
+    lambda told: told["settings"].pop("classes"), lambda told: told.update(known={"n": 1, "events": [{}]}),
+    lambda told: told.update(feed="nowhere"), lambda told: told.update(seed="xyz"),
+    lambda told: told.update(listen="nowhere"), lambda told: told.update(listen="in use"),
+])
+def test_a_start_that_fails_says_why_in_one_line(started, tmp_path, spoil):
+    node = started(member(1))
+    path = tmp_path / "other.json"
+    if callable(spoil):
+        told = {**json.loads(node.config.read_text()), "listen": "127.0.0.1:0"}
+        spoil(told)
+        told["listen"] = node.listen if told["listen"] == "in use" else told["listen"]
+        path.write_text(json.dumps(told))
+    elif spoil is not None:
+        path.write_text(spoil)
+    process = start(path, tmp_path / "other.log")
+    assert process.wait(30) != 0
+    said = (tmp_path / "other.log").read_text()
+    assert said.count("\n") == 1 and said.startswith("vanerelay: ") and "Traceback" not in said
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -6,6 +6,9 @@
 
 import click
 import structlog
+from twisted.logger import ILogObserver, LogEvent, LogLevel, formatEvent, globalLogBeginner
+
+from zope.interface import provider  # type: ignore[import-untyped]
 
 from vanerelay import __version__
 
@@ -23,6 +26,16 @@
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
+    # What Twisted has to say of faults goes the same way.
+    told = structlog.get_logger()
+
+    @provider(ILogObserver)  # type: ignore[misc]
+    def observe(event: LogEvent) -> None:
+        if event.get("log_level") in (LogLevel.error, LogLevel.critical):
+            failure = event.get("log_failure")
+            told.error(formatEvent(event), fault=failure.getTraceback() if failure else None)
+
+    globalLogBeginner.beginLoggingTo([observe], redirectStandardIO=False, discardBuffer=True)
 
 
 @click.group()
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -14,9 +14,9 @@
 
 from vanerelay.net import frames
 from vanerelay.net.buffers import Pool
+from vanerelay.net.clock import Clock
 
 IDLE_S = 4.0  # clients close connections idle for this long; one that takes nothing for as long is given up
-SHARE = 3  # clients hold at most one part in so many of the descriptors
 
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
@@ -32,7 +32,7 @@
 class Served(Interface):
     """What the driver asks of the service."""
 
-    def request(self, client: ClientConnection, frame: frames.Frame) -> Asked | None: ...
+    def request(self, client: ClientConnection, frame: frames.Frame, since: int) -> Asked | None: ...
 
     def ready(self) -> bool: ...
 
@@ -47,6 +47,7 @@
         self._clients = clients
         self._reader = frames.FrameReader(clients.pool)
         self.open: dict[int, Asked] = {}
+        self._since: int | None = None  # what is read next may have come then, earlier than the last look
         self._last_frame_sent = self._closing = self._lost = False
         self._stuck: Any = None
 
@@ -58,6 +59,12 @@
             self.end()
 
     def dataReceived(self, data: bytes) -> None:
+        since = self._clients.clock.looked if self._since is None else self._since
+        # A read that took as much as it may has left more behind, that had come as early.
+        self._since = since if len(data) >= self.transport.bufferSize else None
+        self._read(data, since)
+
+    def _read(self, data: bytes, since: int) -> None:
         for frame in self._reader.feed(data):
             if self._closing:
                 return
@@ -68,13 +75,13 @@
                 self.end_when_answered()
                 return
             try:
-                self._frame(frame)
+                self._frame(frame, since)
             except Exception:
                 log.exception("a client's frame met a fault")
                 if frame.kind == frames.REQUEST:
                     self.answer(frame.stream, frames.ERRORED, {}, b"")
 
-    def _frame(self, frame: frames.Frame) -> None:
+    def _frame(self, frame: frames.Frame, since: int) -> None:
         self._clients.used(self)
         if frame.kind == frames.READY:
             code = frames.RETURNED if self._clients.service.ready() else frames.PUSHED_BACK
@@ -87,7 +94,7 @@
         elif len(self.open) >= frames.OPEN_MOST:
             self.transport.write(frames.answer(frames.ANSWER, frame.stream, frames.PUSHED_BACK, {}))
         else:
-            asked = self._clients.service.request(self, frame)
+            asked = self._clients.service.request(self, frame, since)
             if asked is not None:
                 self.open[frame.stream] = asked
 
@@ -124,6 +131,7 @@
 
     def pauseProducing(self) -> None:
         self.transport.pauseProducing()
+        self._since = self._clients.clock.looked if self._since is None else self._since
         if self._stuck is None:
             self._stuck = self._clients.reactor.callLater(IDLE_S, self._give_up)
 
@@ -162,9 +170,8 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, service: Served, pool: Pool, descriptors: int) -> None:
-        self.reactor, self.service, self.pool = reactor, service, pool
-        self._most = max(1, descriptors // SHARE)
+    def __init__(self, reactor: Any, clock: Clock, service: Served, pool: Pool, most: int) -> None:
+        self.reactor, self.clock, self.service, self.pool, self._most = reactor, clock, service, pool, most
         self._all: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest unused first
         self._port: Any = None
         self._full = False
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -26,10 +26,13 @@
 class Attempt:
     """One dispatch on its way. `done` fires once, with its End; it never fails."""
 
-    __slots__ = ("body", "done", "grant", "group", "ident", "line", "patience", "timer")
+    __slots__ = ("body", "done", "grant", "group", "ident", "line", "patience", "timer", "used")
 
-    def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes) -> None:
+    def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes,
+                 used: list[Line]) -> None:
+        """`used`: the connections that the batch's dispatches went over; each takes one of them only."""
         self.ident, self.group, self.patience, self.grant, self.body = ident, group, patience, grant, body
+        self.used = used
         self.done: Deferred[End] = Deferred()
         self.line: Line | None = None
         self.timer: Any = None
@@ -114,6 +117,7 @@
         if self._protocol is None:
             self.waiting.append(attempt)
             return
+        attempt.used.append(self)
         self.attempts[attempt.ident] = attempt
         self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.body)
         self.written.append(attempt.ident)
@@ -212,13 +216,18 @@
         self._idle_s = max(idle_s / 2, idle_s - connect_s)
         self.lines: list[Line] = []
 
-    def send(self, attempt: Attempt) -> None:
-        self.sweep()
-        line = next((line for line in self.lines if line.takes(attempt.ident)), None)
-        if line is None:
-            line = Line(self)
-            self.lines.append(line)
-        line.send(attempt)
+    def line_for(self, attempt: Attempt) -> Line | None:
+        now = self.reactor.seconds()
+        for line in self.lines:
+            if line.takes(attempt.ident) and line not in attempt.used and (
+                    line.busy or now - line.used_at < self._idle_s):
+                return line
+        return None
+
+    def call(self) -> Line:
+        line = Line(self)
+        self.lines.append(line)
+        return line
 
     def sweep(self) -> None:
         """Closes what has been idle so long that the engine is about to."""
@@ -240,9 +249,10 @@
     """All engines by the module's indices."""
 
     def __init__(self, reactor: Any, pool: Pool, most: int, may_cancel: bool, connect_s: float,
-                 idle_s: float) -> None:
+                 idle_s: float, connections: int) -> None:
         self._reactor, self._pool, self._most, self._may_cancel = reactor, pool, most, may_cancel
-        self._connect_s, self._idle_s = connect_s, idle_s
+        self._connect_s, self._idle_s, self._connections, self._full = connect_s, idle_s, connections, False
+        self._gone: set[int] = set()
         self._peers: dict[int, Peer] = {}
         self._addresses: dict[str, int] = {}
         self._lives: dict[int, tuple[str, int]] = {}
@@ -253,6 +263,7 @@
             # What it still runs may yet be answered.
             self._drop(engine, at_once=False)
             return
+        self._gone.discard(engine)
         if self._lives.get(engine) == (address, started):
             return
         self._drop(engine, at_once=True)
@@ -273,8 +284,10 @@
         peer, life = self._peers.get(engine), self._lives.get(engine)
         if peer is not None:
             peer.close(at_once)
+            self._gone.add(engine)
         if at_once and life is not None:
             self._peers.pop(engine, None)
+            self._gone.discard(engine)
             del self._lives[engine]
             if self._addresses.get(life[0]) == engine:
                 del self._addresses[life[0]]
@@ -284,8 +297,17 @@
         if peer is None:
             self._reactor.callLater(0, attempt.end, End(Cause.REFUSED, Stage.NOT_CONNECTED))
             return
+        line = peer.line_for(attempt)
+        if line is None and self.connections() >= self._connections:
+            # Past the descriptors left for engines: the engine is not to blame, and nothing was sent.
+            if not self._full:
+                log.warning("engines hold their share of the descriptors", connections=self._connections)
+            self._full = True
+            self._reactor.callLater(0, attempt.end, End(Cause.OVER, Stage.NOT_CONNECTED))
+            return
+        self._full = False
         attempt.timer = self._reactor.callLater(time_out_s, attempt.give_up, Cause.TIME_OUT)
-        peer.send(attempt)
+        (line or peer.call()).send(attempt)
 
     def probe(self, engine: int) -> None:
         peer = self._peers.get(engine)
@@ -295,6 +317,8 @@
     def sweep(self) -> None:
         for peer in self._peers.values():
             peer.sweep()
+        for engine in [engine for engine in self._gone if not self._peers[engine].lines]:
+            self._drop(engine, at_once=True)
 
     def connections(self) -> int:
         return sum(len(peer.lines) for peer in self._peers.values())
--- a/vanerelay/net/feed.py
+++ b/vanerelay/net/feed.py
@@ -161,20 +161,23 @@
     """The events of `{"n":..,"events":[..]}`, in order."""
     try:
         told = json.loads(data) if isinstance(data, bytes) else data
-        return [_change(event, locations, kinds) for event in told["events"] if "members" in event]
+        return [_change(event, locations, kinds) for event in told["events"]]
     except (ValueError, KeyError, TypeError, AttributeError) as fault:
         return Unreadable(f"{type(fault).__name__}: {fault}")
 
 
 def _change(event: dict[str, Any], locations: Mapping[str, int], kinds: Mapping[str, int]) -> Change:
-    body = event["members"]
+    body = event.get("members")
+    if body is None:
+        return Change(int(event["n"]), False, [])  # of another kind; its number counts all the same
     return Change(int(event["n"]), bool(body.get("complete")), [
         Member(
             name=str(row["id"]),
             address=_address(row["host_port"]),
             state=STATES[row["phase"]],
-            location=locations.get(row.get("locality"), 0),
-            kind=kinds.get(row.get("flavor"), 0),
+            # One that the settings do not name is none of those that a service group may be bound to.
+            location=locations.get(row.get("locality"), len(locations)),
+            kind=kinds.get(row.get("flavor"), len(kinds)),
             cell=int(row.get("cell") or 0),
             weight=float(row.get("size") or 1.0),
             started=int(float(row.get("up_since_ms") or 0) * 10),
--- a/vanerelay/net/frames.py
+++ b/vanerelay/net/frames.py
@@ -36,6 +36,8 @@
         self._held, self._last, self._broken = Gather(pool), 0, False
 
     def feed(self, data: bytes) -> Iterator[Frame | Malformed]:
+        if self._broken:
+            return
         self._held.feed(data)
         while not self._broken:
             head = self._held.peek(_HEAD.size)
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -21,6 +21,8 @@
 # After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
 # counts what comes within 0.7 s.
 CONNECTIONS_S, REQUESTS_S = 0.5, 0.7
+CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
+STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
 
 log = structlog.get_logger()
 
@@ -55,16 +57,20 @@
         connect_s = terms.down(limits.get("dialTimeoutUs") or 250_000) / UNITS
         idle_s = terms.down(limits.get("connIdleUs") or 30_000_000) / UNITS
         pool = Pool()
-        engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, connect_s, idle_s)
+        descriptors = int(told["limits"].get("sockets") or 1024)
+        clients = max(1, descriptors // CLIENT_SHARE)
+        engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, connect_s, idle_s,
+                          max(1, descriptors - clients - OWN))
         peers = None
         if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
-        self.service = Service(reactor, clock, profile, engines, peers)
+        room = int(told["limits"].get("memory_mb") or 192) * 2**20 // STATEMENT_SHARE
+        self.service = Service(reactor, clock, profile, engines, peers, room)
         self.service.open_gateway(int(str(told.get("seed", "0")), 16), profile)
         names = profile.get("failureDomains") or [], profile.get("kinds") or []
         locations, kinds = ({name: row for row, name in enumerate(listed)} for listed in names)
         self.roster = Roster(reactor, pool, told["feed"], locations, kinds, connect_s, self.service.listed)
-        self.clients = Clients(reactor, self.service, pool, int(told["limits"].get("sockets") or 1024))
+        self.clients = Clients(reactor, clock, self.service, pool, clients)
         self._engines, self._drained = engines, Deferred[None]()
         wrong = self.roster.apply(told["known"])
         if wrong is not None:
@@ -94,6 +100,7 @@
     def _drain(self) -> Deferred[None]:
         """SIGTERM: what was taken is answered, and connections may come for as long as the page says."""
         log.info("draining", open=self.service.open)
+        self.service.ending = True
         self.clients.each(lambda client: client.last())
         self._reactor.callLater(CONNECTIONS_S, self._no_connections)
         self._reactor.callLater(REQUESTS_S, self._no_requests)
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -24,6 +24,8 @@
         self._size = -1  # of the bulk string that is awaited
 
     def feed(self, data: bytes) -> Iterator[list[bytes] | None]:
+        if self.broken:
+            return
         self._held.feed(data)
         try:
             while not self.broken and self._step():
@@ -102,24 +104,23 @@
 
 
 class Exchange:
-    """Dispatches open on one connection. Answers name only an id, so an id is sent here once at a time, and
-    the id of a dispatch given up stays taken: a late answer must not pass for that of a later dispatch."""
+    """Dispatches open on one connection. Answers name only an id, so an id is open here once at a time; the
+    driver sends a batch's later dispatches elsewhere, as a late answer must not pass for theirs."""
 
     def __init__(self, pool: Pool, most: int, may_cancel: bool) -> None:
         self._reader, self._most, self._may_cancel = BulkReader(pool), most, may_cancel
         self.open: dict[bytes, _Pages | None] = {}
-        self._given_up: dict[bytes, bool] = {}  # id: whether the engine may still have it open
+        self._left_open: set[bytes] = set()  # given up here, and open still for all that the engine knows
         self.out: list[bytes] = []  # what is to be written, in this order
 
     @property
     def worn(self) -> bool:
-        """Too many ids stay taken: the connection had better be replaced."""
-        return len(self._given_up) >= self._most or self._reader.broken
+        """Unreadable, or full of dispatches that nobody waits for: it had better be replaced."""
+        return self._reader.broken or len(self._left_open) >= self._most
 
     def takes(self, ident: bytes) -> bool:
-        running = len(self.open) + sum(self._given_up.values())
-        return running < self._most and not self.worn and ident not in self.open and (
-            ident not in self._given_up)
+        room = len(self.open) + len(self._left_open) < self._most and not self._reader.broken
+        return room and ident not in self.open and ident not in self._left_open
 
     def serve(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes) -> None:
         told = b"sort=%b,patience=%d" % (group, patience)
@@ -131,11 +132,12 @@
     def give_up(self, ident: bytes) -> Stage:
         """How far the dispatch had come that nobody waits for any more."""
         pages = self.open.pop(ident)
-        self._given_up[ident] = not self._may_cancel and pages is None
         if pages is not None:
             self.out.append(command(b"release", ident))
         elif self._may_cancel:
             self.out.append(command(b"cancel", ident))
+        else:
+            self._left_open.add(ident)
         return Stage.WRITTEN if pages is None else Stage.PAGES_MISSING
 
     def health(self, tag: bytes) -> None:
@@ -154,7 +156,7 @@
                     if end is not None:
                         yield ident, end
                 else:
-                    self._given_up.pop(ident, None)
+                    self._left_open.discard(ident)
 
     def lost(self) -> dict[bytes, Stage]:
         """How far all that is open had come when the connection ended."""
@@ -190,8 +192,6 @@
 
     def _end(self, ident: bytes, cause: Cause, told: dict[str, str] | None = None) -> End:
         pages = self.open.pop(ident)
-        if cause is Cause.UNREADABLE:
-            self._given_up[ident] = True
         if pages is not None:
             self.out.append(command(b"release", ident))
         return End(cause, Stage.WRITTEN if pages is None else Stage.PAGES_MISSING, b"", told or {})
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -15,7 +15,7 @@
 from vanerelay.net.clients import ClientConnection
 from vanerelay.net.clock import UNITS, Clock
 from vanerelay.net.ends import Cause, End, Stage
-from vanerelay.net.engines import Attempt, Engines
+from vanerelay.net.engines import Attempt, Engines, Line
 from vanerelay.net.peers import Peers
 from vanerelay.net.statements import table_group
 
@@ -29,7 +29,8 @@
 class Request(Held):
     """A batch on the sockets: who waits for it, and what goes to an engine."""
 
-    __slots__ = ("attempts", "body", "client", "grant", "group", "guard", "limit", "service", "stream")
+    __slots__ = ("attempts", "body", "client", "grant", "group", "guard", "limit", "service", "stream",
+                 "used")
 
     def __init__(self, service: Service, client: ClientConnection, stream: int, name: str, group: str,
                  limit: int, body: bytes) -> None:
@@ -37,6 +38,7 @@
         self.service, self.client, self.stream = service, client, stream
         self.group, self.limit, self.body = group.encode(), limit, body
         self.attempts: list[Attempt | None] = []
+        self.used: list[Line] = []
         self.grant = 0
         self.guard: Any = None
 
@@ -48,7 +50,8 @@
     """The Transport of the Gateway on sockets. `open_gateway` is called once its parts stand."""
 
     def __init__(self, reactor: Any, clock: Clock, profile: dict[str, Any], engines: Engines,
-                 peers: Peers | None) -> None:
+                 peers: Peers | None, room: int) -> None:
+        """`room`: bytes that the statements of open batches may take together."""
         self._reactor, self._clock, self._engines, self._peers = reactor, clock, engines, peers
         self._groups = {group.name: row for row, group in enumerate(terms.service_groups(profile))}
         self._customers = {str(o.get("name")): row for row, o in enumerate(profile.get("orgs") or [])}
@@ -59,8 +62,8 @@
         self._names = Names()
         self._holding: Holding[Request] = Holding()
         self._gateway: Gateway | None = None
-        self._listed = False
-        self.open = 0
+        self._listed = self.ending = False
+        self.open, self._room = 0, room
         self.now = clock.now()
 
     def open_gateway(self, seed: int, profile: dict[str, Any]) -> None:
@@ -69,10 +72,10 @@
     # What clients bring.
 
     def ready(self) -> bool:
-        return self._listed and self._gateway is not None
+        return self._listed and self._gateway is not None and not self.ending
 
-    def request(self, client: ClientConnection, frame: frames.Frame) -> Request | None:
-        """Takes a batch; None where it was answered on the spot."""
+    def request(self, client: ClientConnection, frame: frames.Frame, since: int) -> Request | None:
+        """Takes a batch; None where it was answered on the spot. Nothing of it had come before `since`."""
         told, body = frame.fields, frame.body
         self.now = self._clock.now()
         group = self._groups.get(told.get("service", ""))
@@ -83,15 +86,17 @@
         if not known or effort is None or space is None:
             client.answer(frame.stream, frames.ERRORED, {}, b"")
             return None
-        if self._most_open and self.open >= self._most_open or self._gateway is None:
+        full = self._most_open and self.open >= self._most_open or len(body) > self._room
+        if full or self._gateway is None:
             client.answer(frame.stream, frames.PUSHED_BACK, {}, b"")
             return None
         assert group is not None and customer is not None and allow is not None
-        # The client counts from when it sent, which nobody tells: it was after the last look at the sockets.
-        limit = self._clock.looked + int(allow * 10)
+        # The client counts from when it sent, which nobody tells: the earliest moment known stands for it.
+        limit = since + int(allow * 10)
         held = Request(self, client, frame.stream, name, told["service"], limit, body)
         self._holding.open(held)
         self.open += 1
+        self._room -= len(body)
         held.guard = self._reactor.callLater(max(0, limit - self.now) / UNITS, self._overdue, held)
         client.open[frame.stream] = held
         arrival = Arrival(
@@ -172,6 +177,8 @@
     def _finish(self, held: Request) -> None:
         held.ended = True
         self.open -= 1
+        self._room += len(held.body)
+        held.body = b""  # no dispatch follows
         if held.guard is not None:
             held.guard.cancel()
             held.guard = None
@@ -190,7 +197,8 @@
         number = len(held.attempts)
         left = held.limit - self.now
         wait = left if time_out == 0 else min(time_out, left)
-        attempt = Attempt(held.name.encode(), held.group, max(1, wait // 10), held.grant, held.body)
+        attempt = Attempt(
+            held.name.encode(), held.group, max(1, wait // 10), held.grant, held.body, held.used)
         held.attempts.append(attempt)
         held.out += 1
         attempt.done.addCallback(self._ended, held, number, self.now)
