A dispatch given up is abandoned before its end is told; batches given up are let go of

PROTOCOL: an attempt is out until its end is written or it is abandoned, and without a cancel only the end of its connection abandons it; Line.give_up left it open. Where neither is allowed a dispatch now has a connection alone and its time-out ends that. With a cancel there was a race: Twisted writes in the next pass, in any order of connections, so the end is now told once the transport says that the cancel has left.

Seen by a test that makes the module's beat fail: a batch pushed back from the line stayed in the table for good, on both wires (Service.push_back, Instance.push_back and error). Now settled there, a test on each wire.

Also: the lexer looked back for its bracket at each FROM (minutes for the longest frame); digits of other scripts and thousands of digits are no figures. Each with a test seen to fail.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -104,6 +104,16 @@
                 event("checkResult", engine="engine_a", status="GOOD", durationUs=10)) == []
 
 
+def test_a_batch_given_up_in_the_line_is_let_go_of():
+    """Nothing comes for it any more: held on, it and its index were lost to the process for good."""
+    host = Host()
+    orders = play(host, census(0), *started(), ingress("r-1", limit=T0 + 100_000))
+    while not any(order["verb"] == "bounce" for order in orders):
+        wait, key = next((o["waitUs"], o["keyBack"]) for o in orders if o["verb"] == "setTimer")
+        orders = play(host, event("fired", keyBack=key), at=host._instances[0].now * 100 + wait)
+    assert not host._instances[0]._held and len(host._instances[0]._holding) == 0
+
+
 @pytest.mark.parametrize("line", [
     "no json", "[]", "{}", '{"clockUs":1}', '{"clockUs":1,"input":[{"verb":"ingress","manager":5}]}',
     '{"clockUs":1,"input":[{"verb":"what","manager":0}]}',
--- /dev/null
+++ b/tests/test_drivers.py
@@ -0,0 +1,403 @@
+"""The drivers of engines and clients, and the service, on transports and a clock that the tests move."""
+from __future__ import annotations
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError, TimeoutError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from tests.helpers import SERVICES
+from vanerelay.interface import NEVER_RAN
+from vanerelay.net import ends, frames
+from vanerelay.net.buffers import Pool
+from vanerelay.net.clients import Clients
+from vanerelay.net.clock import Clock
+from vanerelay.net.ends import Cause, Stage
+from vanerelay.net.engines import Attempt, Engines
+from vanerelay.net.resp import command
+from vanerelay.net.service import Request, Service
+
+
+class Wire(StringTransport):
+    """A transport whose bytes leave, and whose end comes, only when the test says so."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, _):
+        pass
+
+    setTcpKeepAlive = setTcpNoDelay
+    bufferSize = 65536
+
+    def abortConnection(self):
+        self.aborted = True
+
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+
+    def leave(self):
+        self.clear()
+        self.producer.resumeProducing()
+
+
+class Fleet:
+    """One engine at one address, and what became of its attempts."""
+
+    def __init__(self, most=32, may_cancel=True, may_copy=True, connections=100):
+        self.reactor, self.ends, self.used = MemoryReactorClock(), [], []
+        self.engines = Engines(self.reactor, Pool(), most, may_cancel, may_copy, 0.25, 30.0, connections)
+        self.engines.listed(0, "127.0.0.1:9", 0, False)
+
+    def send(self, name, time_out=5.0, used=None):
+        attempt = Attempt(name.encode(), b"look", 5000, 0, b"S", [] if used is None else used)
+        attempt.done.addCallback(lambda end: self.ends.append((name, end.cause, end.stage)))
+        self.engines.send(0, attempt, time_out)
+        return attempt
+
+    def connect(self, number=0):
+        protocol = self.reactor.tcpClients[number][2].buildProtocol(None)
+        wire = Wire()
+        protocol.makeConnection(wire)
+        self.lose = lambda why=ConnectionLost: protocol.connectionLost(Failure(why()))
+        self.say = protocol.dataReceived
+        return wire
+
+    def fail(self, why):
+        self.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(why()))
+
+
+@pytest.mark.parametrize(("why", "cause"), [
+    (ConnectionRefusedError, Cause.REFUSED), (TimeoutError, Cause.CONNECT_TIME_OUT),
+    (OSError, Cause.REFUSED)])
+def test_no_connection_proves_that_nothing_ran(why, cause):
+    fleet = Fleet()
+    fleet.send("a")
+    fleet.send("b")
+    assert len(fleet.reactor.tcpClients) == 1  # both wait for one
+    fleet.fail(why)
+    assert fleet.ends == [("a", cause, Stage.NOT_CONNECTED), ("b", cause, Stage.NOT_CONNECTED)]
+    assert fleet.engines.connections() == 0
+
+
+@pytest.mark.parametrize(("left", "why", "stages"), [
+    (True, ConnectionLost, [Stage.WRITTEN, Stage.WRITTEN]),
+    (True, ConnectionDone, [Stage.WRITTEN, Stage.WRITTEN]),
+    (False, ConnectionLost, [Stage.WRITTEN, Stage.PARTLY_WRITTEN]),
+])
+def test_a_lost_connection_tells_what_had_left_whole(left, why, stages):
+    """The last command handed over has not left whole before the transport says that all has."""
+    fleet = Fleet()
+    fleet.send("a")
+    fleet.send("b")
+    wire = fleet.connect()
+    if left:
+        wire.leave()
+    fleet.lose(why)
+    assert fleet.ends == [(n, Cause.LOST, s) for n, s in zip("ab", stages, strict=True)]
+
+
+def test_a_time_out_before_the_connection_is_up_sends_nothing():
+    fleet = Fleet()
+    fleet.send("a", 0.1)
+    fleet.reactor.advance(0.2)
+    assert fleet.ends == [("a", Cause.TIME_OUT, Stage.NOT_CONNECTED)]
+    assert fleet.connect().value() == b""
+
+
+def test_a_cancel_has_left_before_the_end_is_told():
+    """Else the next dispatch of the batch could reach another engine before the cancel reached this one."""
+    fleet = Fleet()
+    fleet.send("a", 1.0)
+    wire = fleet.connect()
+    wire.leave()
+    fleet.reactor.advance(1.0)
+    assert fleet.ends == [] and wire.value() == command(b"cancel", b"a")
+    wire.leave()
+    assert fleet.ends == [("a", Cause.TIME_OUT, Stage.WRITTEN)]
+
+
+def test_a_cancel_that_cannot_leave_ends_its_connection():
+    fleet = Fleet()
+    fleet.send("a", 1.0)
+    wire = fleet.connect()
+    fleet.reactor.advance(1.0)
+    assert not wire.aborted
+    fleet.reactor.advance(0.3)
+    assert wire.aborted and fleet.ends == []
+    fleet.lose()
+    assert fleet.ends == [("a", Cause.TIME_OUT, Stage.WRITTEN)]
+
+
+def test_without_cancels_and_copies_a_dispatch_has_a_connection_alone_and_its_end_abandons_it():
+    """Seen on sockets: a dispatch that timed out stayed out at its engine, and the next was a second copy."""
+    fleet = Fleet(may_cancel=False, may_copy=False)
+    fleet.send("a", 1.0)
+    fleet.send("b")
+    assert len(fleet.reactor.tcpClients) == 2
+    wire = fleet.connect(0)
+    wire.leave()
+    fleet.reactor.advance(1.0)
+    assert wire.aborted and fleet.ends == []
+    fleet.lose()
+    assert fleet.ends == [("a", Cause.TIME_OUT, Stage.WRITTEN)]
+    fleet.connect(1)
+    fleet.say(command(b"b", b"OK", b"total=1", b"x"))
+    fleet.send("c")
+    assert len(fleet.reactor.tcpClients) == 2  # a connection is used again, one dispatch at a time
+
+
+def test_a_batch_s_further_dispatch_takes_another_connection():
+    fleet, used = Fleet(), []
+    fleet.send("a", 1.0, used)
+    wire = fleet.connect()
+    fleet.reactor.advance(1.0)
+    wire.leave()
+    fleet.send("a", 1.0, used)
+    fleet.send("b", 1.0)
+    assert len(fleet.reactor.tcpClients) == 2 and b"serve\r\n$1\r\nb" in wire.value()
+    fleet.say(command(b"a", b"OK", b"total=1", b"x"))
+    assert [name for name, *_ in fleet.ends] == ["a"]  # the late answer ended no dispatch
+
+
+def test_connections_are_filled_before_the_next_is_called_for():
+    fleet = Fleet(most=2)
+    for name in "abc":
+        fleet.send(name)
+    assert len(fleet.reactor.tcpClients) == 2
+    fleet.connect(0)
+    fleet.connect(1)
+    for name in "de":
+        fleet.send(name)
+    assert len(fleet.reactor.tcpClients) == 3 and fleet.ends == []
+
+
+def test_past_the_descriptors_nothing_is_sent_and_no_engine_is_blamed():
+    fleet = Fleet(most=1, connections=1)
+    fleet.send("a")
+    fleet.send("b")
+    fleet.reactor.advance(0)
+    assert fleet.ends == [("b", Cause.OVER, Stage.NOT_CONNECTED)]
+
+
+@pytest.mark.parametrize(("idle", "calls"), [(29.0, 1), (29.8, 2)])
+def test_a_connection_that_the_engine_is_about_to_close_takes_no_dispatch(idle, calls):
+    """Without the sweep: one that comes late must not let a dispatch cross the engine's close."""
+    fleet = Fleet()
+    fleet.send("a")
+    fleet.connect()
+    fleet.say(command(b"a", b"OK", b"total=1", b"x"))
+    fleet.reactor.advance(idle)
+    fleet.send("b")
+    assert len(fleet.reactor.tcpClients) == calls
+
+
+def test_an_idle_connection_is_closed_before_the_engine_does():
+    fleet = Fleet()
+    fleet.send("a")
+    wire = fleet.connect()
+    fleet.say(command(b"a", b"OK", b"total=1", b"x"))
+    fleet.engines.sweep()
+    assert not wire.disconnecting
+    fleet.reactor.advance(29.8)
+    fleet.engines.sweep()
+    assert wire.disconnecting and fleet.engines.connections() == 0
+
+
+@pytest.mark.parametrize(("address", "started"), [("127.0.0.1:9", 5), ("127.0.0.1:10", 0)])
+def test_a_new_life_of_an_engine_loses_what_is_out_on_the_old(address, started):
+    fleet = Fleet()
+    fleet.send("a")
+    wire = fleet.connect()
+    wire.leave()
+    fleet.engines.listed(0, address, started, False)
+    assert wire.aborted and fleet.ends == [("a", Cause.LOST, Stage.WRITTEN)]
+    fleet.send("b")
+    host, port = fleet.reactor.tcpClients[1][:2]
+    assert f"{host}:{port}" == address
+
+
+def test_an_engine_that_left_the_list_is_forgotten_once_its_last_answer_is_in():
+    fleet = Fleet()
+    fleet.send("a")
+    fleet.connect()
+    fleet.engines.only(set())
+    fleet.engines.sweep()
+    fleet.say(command(b"a", b"OK", b"total=1", b"x"))
+    assert fleet.ends == [("a", Cause.OK, Stage.WHOLE)]
+    fleet.engines.sweep()
+    fleet.send("b")
+    fleet.reactor.advance(0)
+    assert fleet.ends[1:] == [("b", Cause.REFUSED, Stage.NOT_CONNECTED)]
+
+
+# Clients and the service.
+
+class Served:
+    """A service with one engine and one client, on clocks that the test moves."""
+
+    def __init__(self, room=10_000, **limits):
+        self.reactor, self.time = MemoryReactorClock(), 1000.0
+        self.clock = Clock(lambda: self.time)
+        profile = {**SERVICES, "limits": {**SERVICES["limits"], **limits}}
+        self.engines = Engines(self.reactor, Pool(), 32, True, True, 0.25, 30.0, 100)
+        self.service = Service(self.reactor, self.clock, profile, self.engines, None, room)
+        self.service.open_gateway(7, profile)
+        self.clients = Clients(self.reactor, self.clock, self.service, Pool(), 3)
+        self.client, self.wire = self.join()
+        self.look()
+
+    def join(self):
+        protocol, wire = self.clients.buildProtocol(None), Wire()
+        protocol.makeConnection(wire)
+        return protocol, wire
+
+    def look(self):
+        self.clock.looked = self.clock.now()
+
+    def ask(self, stream, body=b"S", **other):
+        told = {"service": "look", "ref": f"r{stream}", "allow": "5000", "project": "acme", **other}
+        payload = bytes((len(told),)) + b"".join(
+            bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode() for n, v in told.items())
+        self.client.dataReceived(frames.frame(frames.REQUEST, stream, payload + body))
+
+    def advance(self, span):
+        for _ in range(round(span * 100)):
+            self.time += 0.01
+            self.reactor.advance(0.01)
+
+    def answers(self):
+        """Stream and code of each answer so far."""
+        data, got = self.wire.value(), []
+        while data:
+            size = int.from_bytes(data[:4], "big") + 4
+            got.append((int.from_bytes(data[5:9], "big"), data[9]))
+            data = data[size:]
+        return got
+
+
+def test_a_held_batch_is_answered_before_its_time_limit():
+    served = Served()
+    served.ask(1)
+    served.advance(4.99)
+    assert served.answers() == [(1, frames.PUSHED_BACK)] and served.service.open == 0
+
+
+def test_the_time_limit_counts_from_the_last_look_at_the_sockets():
+    """A process that stood still for longer than a client waits must not start on its batch."""
+    served = Served()
+    served.time += 6.0
+    served.ask(1)
+    assert served.answers() == [(1, frames.PUSHED_BACK)]
+
+
+def test_what_a_full_read_left_behind_had_come_as_early():
+    served = Served()
+    head = frames.frame(frames.REQUEST, 1, b"\0" + b"x" * 70_000)
+    served.client.dataReceived(head[:65536])
+    served.time += 6.0
+    served.look()  # the next pass of the loop; the rest was there all the while
+    served.client.dataReceived(head[65536:])
+    served.ask(2)
+    assert served.answers()[0] == (1, frames.ERRORED)
+    served.advance(0.1)
+    assert served.service.open == 1  # the second came after that look
+
+
+@pytest.mark.parametrize("broken", ["take", "beat", "ended"])
+def test_a_fault_in_the_module_is_answered_and_the_rest_goes_on(broken, monkeypatch):
+    served = Served()
+    gateway = served.service._gateway
+
+    def fault(*_):
+        raise RuntimeError("a fault")
+
+    if broken == "take":
+        monkeypatch.setattr(gateway, "take", fault)
+        served.ask(1)
+    elif broken == "beat":
+        monkeypatch.setattr(gateway.line, "wait", fault)
+        served.ask(1)
+        served.advance(4.9)
+        assert served.answers() == []
+        monkeypatch.undo()
+        served.advance(0.2)
+    else:
+        from vanerelay.net import feed
+        member = feed.Member("e", "127.0.0.1:9", feed.EngineState.UP, 0, 0, 0, 1.0, 0)
+        served.service.listed(feed.Change(1, True, [member]))
+        served.ask(1, service="load")
+        monkeypatch.setattr(gateway, "heard", fault)
+        protocol, wire = served.reactor.tcpClients[0][2].buildProtocol(None), Wire()
+        protocol.makeConnection(wire)
+        protocol.dataReceived(command(b"r1", b"ERR", b"-", b""))
+    assert served.answers() in ([(1, frames.ERRORED)], [(1, frames.PUSHED_BACK)])
+    assert served.service.open == 0 and len(served.service._holding) == 0
+    monkeypatch.undo()
+    served.ask(2)
+    served.advance(5.1)
+    assert [stream for stream, _ in served.answers()] == [1, 2]
+
+
+def test_statements_held_are_bounded_by_the_memory_told():
+    served = Served(room=1000)
+    served.ask(1, b"x" * 600)
+    served.ask(2, b"x" * 600)
+    assert served.answers() == [(2, frames.PUSHED_BACK)]
+    served.client.dataReceived(frames.frame(frames.LEAVE, 1))
+    served.ask(3, b"x" * 600)
+    assert served.answers() == [(2, frames.PUSHED_BACK)] and served.service.open == 1
+
+
+def test_a_dispatch_past_the_most_allowed_or_of_a_batch_that_is_over_is_not_sent():
+    served = Served()
+    served.ask(1)
+    request = served.client.open[1]
+    outcomes = []
+    request.batch.ended = lambda number, outcome, *rest: outcomes.append((number, outcome))
+    request.attempts = [None] * 3
+    served.service.dispatch(request.index, 0, 100)
+    served.reactor.advance(0)
+    assert outcomes == [(3, ends.Outcome.NOT_SENT)] and outcomes[0][1] in NEVER_RAN
+    request.attempts.clear()
+    served.client.dataReceived(frames.frame(frames.LEAVE, 1))
+    assert isinstance(request, Request) and served.answers() == []
+
+
+@pytest.mark.parametrize(("silent_for", "given_up"), [(3.9, False), (4.1, True)])
+def test_a_client_that_takes_no_answers_is_read_no_more_and_given_up(silent_for, given_up):
+    served = Served()
+    served.client.pauseProducing()  # the transport's word that its buffer is over its size
+    assert served.wire.producerState == "paused"
+    served.reactor.advance(silent_for)
+    assert served.wire.aborted == given_up
+    served.client.resumeProducing()
+    assert served.wire.producerState == "producing"
+
+
+def test_the_longest_idle_client_goes_when_the_share_is_full():
+    served = Served()  # three at most, one is there
+    _, second = served.join()
+    served.join()
+    served.ask(1)
+    _, fourth = served.join()
+    assert second.disconnecting and not served.wire.disconnecting and not fourth.disconnecting
+
+
+def test_with_all_clients_busy_one_more_is_turned_away():
+    served = Served()
+    for _ in range(2):
+        served.client, _wire = served.join()
+        served.ask(1)
+    served.client = next(iter(served.clients._all))
+    served.ask(1)
+    _, late = served.join()
+    assert late.disconnecting and served.service.open == 3
+
+
+def test_reports_and_bills_reach_the_module_in_its_units():
+    served = Served()
+    told = "queue:3;x0:0.4;inflight:7;x1:x;new:1"
+    from vanerelay import terms
+    from vanerelay.net import service
+    report = terms.load_report(served.service._reported, service._report(told))
+    assert (report.waiting, report.memory_granted, report.running, report.disks_busy) == (3.0, 0.4, 7.0, None)
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -155,6 +155,9 @@
     (said(b"q", b"OK"), Cause.UNREADABLE, Stage.WRITTEN),
     (said(b"q", b"OK", "total=0"), Cause.UNREADABLE, Stage.WRITTEN),
     (said(b"q", b"OK", "total=x"), Cause.UNREADABLE, Stage.WRITTEN),
+    (said(b"q", b"OK", "total=\u00b2"), Cause.UNREADABLE, Stage.WRITTEN),
+    (said(b"q", b"OK", "total=" + "9" * 5000), Cause.UNREADABLE, Stage.WRITTEN),
+    (PAGE + said(b"q", b"ROWS", "index=\u00b2", b"x"), Cause.UNREADABLE, Stage.PAGES_MISSING),
     (said(b"q", b"OK", "total=1", b"x" * 6001), Cause.UNREADABLE, Stage.PAGES_MISSING),
     (said(b"q", b"ROWS", "index=1"), Cause.UNREADABLE, Stage.WRITTEN),
     (PAGE + said(b"q", b"ERR"), Cause.ERR, Stage.PAGES_MISSING),
@@ -206,7 +209,7 @@
     assert [(i, e.cause) for i, e in talk.feed(b"?")] == []
     got = list(talk.feed(b"?" * 40))
     assert [(i, e.cause) for i, e in got] == [(b"q", Cause.UNREADABLE), (b"r", Cause.UNREADABLE)]
-    assert talk.worn and not talk.takes(b"s") and list(talk.feed(said(b"q", b"ERR"))) == []
+    assert talk.broken and not talk.takes(b"s") and list(talk.feed(said(b"q", b"ERR"))) == []
 
 
 def test_what_is_lost_tells_how_far_it_had_come():
@@ -253,6 +256,8 @@
      + b"\r\n0\r\nTrailer: x\r\n\r\n", feed.Reply(200, BODY, True)),
     (b"HTTP/1.1 204 None\r\n\r\n", feed.Reply(204, b"", True)),
     (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", feed.Reply(503, b"", True)),
+    (b"HTTP/1.1 \xb2\r\n", feed.Unreadable),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n", feed.Unreadable),
     (b"HELLO\r\n", feed.Unreadable), (b"HTTP/1.1 abc\r\n", feed.Unreadable),
     (b"HTTP/1.1 200 OK\r\nnonsense\r\n", feed.Unreadable), (b"x" * 9000, feed.Unreadable),
     (b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", feed.Unreadable),
@@ -327,7 +332,7 @@
     ("SELECT * FROM sales_17.orders", [17]),
     ("select o.a from SALES_17.Orders o where o.b = 'from other_9.x'", [17]),
     ("SELECT * FROM \"sales_17\".\"orders\"", [17]),
-    ("SELECT * FROM \"odd name_17\".t", []), ("SELECT * FROM 'sales_17'.x", []),
+    ("SELECT * FROM \"odd name_17\".t", [17]), ("SELECT * FROM 'sales_17'.x", []),
     ("SELECT 'it''s from a_1.t', x -- from b_2.t\nFROM c_3.t /* , d_4.t */", [3]),
     ("SELECT x /* never closed FROM c_3.t", []), ("SELECT 'never closed FROM c_3.t", []),
     ("SELECT a_1.x, b_2.y FROM c_3.t a_1 JOIN d_4.t AS b_2 ON a_1.id = b_2.id", [3, 4]),
@@ -346,6 +351,7 @@
     ("COPY INTO a_1.t FROM staging.files", [1]),
     ("SELECT EXTRACT(YEAR FROM a_1.day), TRIM(BOTH FROM a_1.n) FROM b_2.t a_1", [2]),
     ("SELECT * FROM db.sales_4.orders", [4]), ("SELECT * FROM sales_4_12.t", [12]),
+    ("SELECT * FROM a_" + "9" * 5000 + ".t", []), ("SELECT * FROM a_\u00b2.t", []),
     ("SELECT * FROM staging.orders", []), ("SELECT * FROM STAGING.x_3", []), ("SELECT * FROM sales.t", []),
     ("SELECT * FROM orders_17", []), ("SELECT 1", []), ("", []), (")))(((,.,.;''\"", []),
     ("SELECT * FROM sales_x1.t", []), ("SELECT 1.5 FROM a_1.t WHERE x IN (1, 2)", [1]),
@@ -356,6 +362,12 @@
     assert table_groups(statement) == groups and table_group(statement) == (groups or [0])[0]
 
 
+@pytest.mark.parametrize("part", ["(from ", "from ", "'a''", "/*", "a.", "((", "join(", "x_1.", "\"a\"."])
+def test_the_longest_statement_is_gone_through_once(part):
+    """At each FROM the lexer looked back for its bracket: the longest frame held the loop for minutes."""
+    assert table_groups(part * (frames.LONGEST // len(part))) in ([], [1])
+
+
 # Time.
 
 def test_the_clock_never_goes_back():
--- a/vanerelay/adapter/instance.py
+++ b/vanerelay/adapter/instance.py
@@ -146,16 +146,20 @@
 
     def push_back(self, batch: int, retry_after: int) -> None:
         held = self._holding.at(batch)
-        held.ended = True
         if retry_after > 0:
             self._order("bounce", requestId=held.name, waitUs=retry_after * terms.MICROS)
         else:
             self._order("bounce", requestId=held.name)
+        self._given_up(held)
 
     def error(self, batch: int) -> None:
         held = self._holding.at(batch)
-        held.ended = True
         self._order("finishError", requestId=held.name)
+        self._given_up(held)
+
+    def _given_up(self, held: Held) -> None:
+        held.ended = True
+        self._forget(held.name, held)  # in the line nothing else comes for it, and it would stay for good
 
     def cancel(self, batch: int, dispatch: int) -> None:
         self._order("revoke", requestId=self._holding.at(batch).name, seqNo=dispatch)
--- a/vanerelay/net/buffers.py
+++ b/vanerelay/net/buffers.py
@@ -4,6 +4,13 @@
 BLOCK = 16_384  # the page's longest result fits three, nearly every message one
 
 
+def number(text: str, most: int) -> int | None:
+    """A whole number told in digits, no larger than `most`; None for all else. Python's own reading stumbles
+    over digits of other scripts and over thousands of them."""
+    plain = text.isascii() and text.isdigit() and len(text) <= len(str(most)) + 8
+    return int(text) if plain and int(text) <= most else None
+
+
 class Pool:
     """Blocks not in use; at most `kept` wait here, the rest go back to the system."""
 
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -69,7 +69,7 @@
         self.line.lost(Cause.LOST)
 
     def resumeProducing(self) -> None:
-        self.line.written.clear()
+        self.line.drained()
 
     def stopProducing(self) -> None:
         pass
@@ -84,14 +84,20 @@
 
 
 class Line:
-    """One connection to an engine, from the first call on: attempts wait here until it is up."""
+    """One connection to an engine, from the first call on: attempts wait here until it is up.
+
+    A dispatch given up is out at its engine until it is abandoned: by a cancel, or where none is allowed by
+    the end of its connection. Its end is told only once that has left, or the batch's next dispatch could
+    reach another engine first: a second copy.
+    """
 
     def __init__(self, peer: Peer) -> None:
         self._peer, self._most = peer, peer.most
         self.exchange = Exchange(peer.pool, peer.most, peer.may_cancel)
         self.waiting: deque[Attempt] = deque()
         self.attempts: dict[bytes, Attempt] = {}
-        self.written: list[bytes] = []  # ids handed to the transport and not known to have left whole
+        self._written: list[bytes] = []  # ids handed to the transport and not known to have left whole
+        self._leaving: list[tuple[Attempt, End]] = []  # given up, and the word of it not known to have left
         self.used_at = peer.reactor.seconds()
         self._protocol: EngineProtocol | None = None
         self.over = self._closing = False
@@ -120,9 +126,17 @@
         attempt.used.append(self)
         self.attempts[attempt.ident] = attempt
         self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.body)
-        self.written.append(attempt.ident)
+        self._written.append(attempt.ident)
         self._flush()
 
+    def drained(self) -> None:
+        """All that was handed to the transport has left."""
+        self._written.clear()
+        leaving, self._leaving = self._leaving, []
+        for attempt, end in leaving:
+            attempt.end(end)
+        self._retire()
+
     def give_up(self, attempt: Attempt, cause: Cause) -> None:
         if attempt in self.waiting:
             self.waiting.remove(attempt)
@@ -130,9 +144,27 @@
             return
         stage = self.exchange.give_up(attempt.ident)
         del self.attempts[attempt.ident]
-        self._flush()
-        self._retire()
-        attempt.end(End(cause, stage))
+        attempt.line = None
+        if self._peer.alone and stage is Stage.WRITTEN:
+            self._leaving.append((attempt, End(cause, stage)))
+            self._abort()
+        elif self.exchange.out:
+            self._leaving.append((attempt, End(cause, stage)))
+            self._flush()
+            self._peer.reactor.callLater(self._peer.connect_s, self._stuck, attempt)
+        else:
+            attempt.end(End(cause, stage))
+            self._retire()
+
+    def _stuck(self, given_up: Attempt) -> None:
+        """A connection that takes no bytes ends, so that what was given up on it does."""
+        if any(attempt is given_up for attempt, _ in self._leaving):
+            self._abort()
+
+    def _abort(self) -> None:
+        self._closing = True
+        if self._protocol is not None and not self.over:
+            self._protocol.abort()
 
     def probe(self, tag: bytes) -> None:
         if self._protocol is not None and not self.over:
@@ -142,20 +174,28 @@
     def received(self, data: bytes) -> None:
         for ident, end in self.exchange.feed(data):
             self.used_at = self._peer.reactor.seconds()
-            self.attempts.pop(ident).end(end)
-        self._flush()
-        self._retire()
+            attempt = self.attempts.pop(ident)
+            if self.exchange.broken:
+                self._leaving.append((attempt, end))
+            else:
+                attempt.end(end)
+        if self.exchange.broken:
+            self._abort()
+        else:
+            self._flush()
+            self._retire()
 
     def lost(self, cause: Cause) -> None:
         if self.over:
             return
         self.over = True
         self._peer.lines.remove(self)
-        last = self.written[-1] if self.written else None
+        last = self._written[-1] if self._written else None
         for ident, stage in self.exchange.lost().items():
             # The transport did not report that all had left, so its last command did not leave whole.
             partly = ident == last and stage is Stage.WRITTEN
             self.attempts.pop(ident).end(End(cause, Stage.PARTLY_WRITTEN if partly else stage))
+        self.drained()
         self._fail_waiting(cause)
 
     def close(self, at_once: bool) -> None:
@@ -172,7 +212,7 @@
 
     def _retire(self) -> None:
         worn = self._closing or self.exchange.worn
-        if worn and not self.busy and not self.over and self._protocol is not None:
+        if worn and not self.busy and not self._leaving and not self.over and self._protocol is not None:
             self.over = True
             self._peer.lines.remove(self)
             self._protocol.close()
@@ -209,9 +249,10 @@
     """One engine process at its address: its connections, each filled before the next is called for."""
 
     def __init__(self, reactor: Any, host: str, port: int, pool: Pool, most: int, may_cancel: bool,
-                 connect_s: float, idle_s: float) -> None:
+                 alone: bool, connect_s: float, idle_s: float) -> None:
         self.reactor, self.host, self.port, self.pool = reactor, host, port, pool
-        self.most, self.may_cancel, self.connect_s = most, may_cancel, connect_s
+        self.may_cancel, self.connect_s, self.alone = may_cancel, connect_s, alone
+        self.most = 1 if alone else most
         # The engine closes at idle_s; ours is closed earlier by what a connection may take to come up.
         self._idle_s = max(idle_s / 2, idle_s - connect_s)
         self.lines: list[Line] = []
@@ -248,9 +289,12 @@
 class Engines:
     """All engines by the module's indices."""
 
-    def __init__(self, reactor: Any, pool: Pool, most: int, may_cancel: bool, connect_s: float,
-                 idle_s: float, connections: int) -> None:
+    def __init__(self, reactor: Any, pool: Pool, most: int, may_cancel: bool, may_copy: bool,
+                 connect_s: float, idle_s: float, connections: int) -> None:
+        """`most` dispatches are open on a connection; one alone where a dispatch given up must be abandoned,
+        as the next would be a copy, and only the end of its connection does that."""
         self._reactor, self._pool, self._most, self._may_cancel = reactor, pool, most, may_cancel
+        self._alone = not may_cancel and not may_copy
         self._connect_s, self._idle_s, self._connections, self._full = connect_s, idle_s, connections, False
         self._gone: set[int] = set()
         self._peers: dict[int, Peer] = {}
@@ -273,7 +317,7 @@
         host, _, port = address.rpartition(":")
         self._lives[engine], self._addresses[address] = (address, started), engine
         self._peers[engine] = Peer(self._reactor, host, int(port), self._pool, self._most, self._may_cancel,
-                                   self._connect_s, self._idle_s)
+                                   self._alone, self._connect_s, self._idle_s)
 
     def only(self, there: set[int]) -> None:
         """A whole list: what it does not name is gone."""
--- a/vanerelay/net/feed.py
+++ b/vanerelay/net/feed.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from vanerelay.interface import EngineEntry, EngineState
-from vanerelay.net.buffers import Gather, Pool
+from vanerelay.net.buffers import Gather, Pool, number
 
 _LINE_MOST, _HEADERS_MOST = 8_192, 100
 BODY_MOST = 4 * 1024 * 1024  # no list is nearly as long
@@ -82,9 +82,10 @@
     def _line(self, line: str) -> Reply | Unreadable | None:
         if self._part == "status":
             words = line.split(" ", 2)
-            if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
+            status = number(words[1], 999) if len(words) > 1 else None
+            if status is None or not words[0].startswith("HTTP/1."):
                 return Unreadable("no status line")
-            self._status, self._part = int(words[1]), "headers"
+            self._status, self._part = status, "headers"
         elif self._part == "headers" and line:
             name, colon, value = line.partition(":")
             self._lines += 1
@@ -121,10 +122,11 @@
             if self._status in (204, 304):
                 return self._whole()
             self._part = "until the end"
-        elif not length.isdigit() or int(length) > BODY_MOST:
-            return Unreadable("no length that can be used")
         else:
-            self._left, self._part = int(length), "length"
+            told = number(length, BODY_MOST)
+            if told is None:
+                return Unreadable("no length that can be used")
+            self._left, self._part = told, "length"
         return None
 
     def _whole(self) -> Reply:
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -59,8 +59,8 @@
         pool = Pool()
         descriptors = int(told["limits"].get("sockets") or 1024)
         clients = max(1, descriptors // CLIENT_SHARE)
-        engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, connect_s, idle_s,
-                          max(1, descriptors - clients - OWN))
+        engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, allowed.copies,
+                          connect_s, idle_s, max(1, descriptors - clients - OWN))
         peers = None
         if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from vanerelay.net.buffers import Gather, Pool
+from vanerelay.net.buffers import Gather, Pool, number
 from vanerelay.net.ends import Cause, End, Stage
 
 RESULT_MOST, PAGE_MOST = 48_000, 6_000  # bytes of a result, and of one page of it
@@ -68,9 +68,10 @@
             if len(self._held) >= _LINE_MOST:
                 raise Unreadable
             return None
-        if line[:1] != sign or not line[1:].isdigit() or int(line[1:]) > most:
+        told = number(line[1:].decode("latin-1"), most)
+        if line[:1] != sign or told is None:
             raise Unreadable
-        return int(line[1:])
+        return told
 
 
 def command(*parts: bytes) -> bytes:
@@ -113,10 +114,14 @@
         self._left_open: set[bytes] = set()  # given up here, and open still for all that the engine knows
         self.out: list[bytes] = []  # what is to be written, in this order
 
+    @property
+    def broken(self) -> bool:
+        return self._reader.broken
+
     @property
     def worn(self) -> bool:
-        """Unreadable, or full of dispatches that nobody waits for: it had better be replaced."""
-        return self._reader.broken or len(self._left_open) >= self._most
+        """Full of dispatches that nobody waits for: it had better be replaced."""
+        return len(self._left_open) >= self._most
 
     def takes(self, ident: bytes) -> bool:
         room = len(self.open) + len(self._left_open) < self._most and not self._reader.broken
@@ -168,16 +173,16 @@
     def _answered(self, ident: bytes, word: bytes, told: dict[str, str], body: bytes) -> End | None:
         pages = self.open[ident]
         if word == b"OK" and pages is None:
-            total = told.get("total", "")
-            if not total.isdigit() or not 1 <= int(total) <= RESULT_MOST:
+            total = number(told.get("total", ""), RESULT_MOST)
+            if not total:
                 return self._end(ident, Cause.UNREADABLE)
-            pages = self.open[ident] = _Pages(told, int(total))
+            pages = self.open[ident] = _Pages(told, total)
             if not pages.put(0, body):
                 return self._end(ident, Cause.UNREADABLE)
             self.out.extend(command(b"read", ident, b"%d" % page) for page in range(1, pages.total))
         elif word == b"ROWS" and pages is not None:
-            index = told.get("index", "")
-            if not index.isdigit() or not pages.put(int(index), body):
+            index = number(told.get("index", ""), RESULT_MOST)
+            if index is None or not pages.put(index, body):
                 return self._end(ident, Cause.UNREADABLE)
         else:
             cause = {b"BUSY": Cause.BUSY, b"ERR": Cause.ERR, b"VOID": Cause.VOID}.get(word, Cause.UNREADABLE)
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -220,11 +220,13 @@
         if not held.ended:
             cooldown = {"cooldown": str(retry_after // 10)} if retry_after > 0 else {}
             self._answer(held, frames.PUSHED_BACK, cooldown, b"")
+        self._settle(held)  # given up in the line nothing else comes for it, and it would stay for good
 
     def error(self, batch: int) -> None:
         held = self._holding.at(batch)
         if not held.ended:
             self._answer(held, frames.ERRORED, {}, b"")
+        self._settle(held)
 
     def cancel(self, batch: int, dispatch: int) -> None:
         attempt = self._holding.at(batch).attempts[dispatch]
--- a/vanerelay/net/statements.py
+++ b/vanerelay/net/statements.py
@@ -9,14 +9,14 @@
     r"""|(?P<quoted>"(?:[^"]|"")*(?:"|\Z))"""
     r"""|(?P<word>[^\W\d]\w*)"""
     r"""|(?P<other>\d\w*|.)""", re.DOTALL)
-_GROUP = re.compile(r"[^\W\d]\w*_(\d+)\Z|_(\d+)\Z")
+_GROUP = re.compile(r"_([0-9]{1,15})\Z")  # no more digits than a figure on the wire may have
 # Words after which a table is named; a comma goes on with the list after the first two kinds.
 _LISTS, _SINGLE = {"from", "using"}, {"join", "into", "update", "table", "overwrite", "truncate"}
 _WRITES = {"into", "update", "table", "overwrite", "truncate"}
 _ENDS = {"where", "group", "order", "having", "limit", "union", "on", "set", "select", "values", "window",
          "intersect", "except", "returning", "qualify", "when"}
+_FUNCTIONS, _BEFORE_QUERY = {"extract", "trim", "substring", "overlay", "position"}, _LISTS | {"join", ","}
 _BETWEEN = {"only", "lateral", "if", "not", "exists", "table"}
-STAGING = "staging"
 
 
 def _tokens(statement: str) -> Iterator[tuple[str, str]]:
@@ -32,17 +32,19 @@
     """The numbers of the schemas of all tables named, those written first, each once."""
     tokens = list(_tokens(statement))
     written, read = list[int](), list[int]()
-    awaited, writing, listing = False, False, list[bool]()  # listing: by open bracket, whether a list goes on
-    depth, at = 0, 0
-    listing.append(False)
+    awaited = writing = False
+    # By open bracket: whether a list of tables goes on, and whether the bracket is that of a function. Kept
+    # as brackets open, not looked for at each FROM: that took minutes for the longest frame there may be.
+    listing, function = [False], [False]
+    at = 0
     while at < len(tokens):
         kind, text = tokens[at]
         word = text.lower() if kind == "word" else ""
         if word in _LISTS or word in _SINGLE:
             # EXTRACT(x FROM y), TRIM(x FROM y) and SUBSTRING(x FROM y) name a column here, no table.
-            function = depth and word == "from" and not listing[depth] and _in_function(tokens, at)
-            awaited, writing = not function, writing if word == "table" and awaited else word in _WRITES
-            listing[depth] = word in _LISTS and not function
+            column = word == "from" and function[-1]
+            awaited, writing = not column, writing if word == "table" and awaited else word in _WRITES
+            listing[-1] = word in _LISTS and not column
         elif awaited and (kind == "name" or kind == "word" and word not in _BETWEEN and word not in _ENDS):
             names, at = _dotted(tokens, at)
             if len(names) > 1:
@@ -50,17 +52,19 @@
             awaited = False
             continue
         elif text == "(":
-            depth += 1
+            before = tokens[at - 1][1].lower() if at else ""
             listing.append(False)
-            awaited = awaited and tokens[at - 1][1].lower() in _LISTS | {"join", ","}
+            function.append(before in _FUNCTIONS)
+            awaited = awaited and before in _BEFORE_QUERY
         elif text == ")":
-            depth = max(0, depth - 1)
-            listing = listing[:depth + 1]
+            if len(listing) > 1:
+                listing.pop()
+                function.pop()
             awaited = False
-        elif text == "," and listing[depth]:
+        elif text == "," and listing[-1]:
             awaited, writing = True, False
         elif word in _ENDS:
-            awaited, listing[depth] = False, False
+            awaited, listing[-1] = False, False
         at += 1
     return list(dict.fromkeys(written + read))
 
@@ -79,18 +83,6 @@
 
 
 def _number(schema: str) -> list[int]:
-    match = _GROUP.match(schema)
-    if match is None or schema.lower() == STAGING:
-        return []
-    return [int(match.group(1) or match.group(2))]
+    match = _GROUP.search(schema)
+    return [] if match is None else [int(match.group(1))]
 
-
-def _in_function(tokens: list[tuple[str, str]], at: int) -> bool:
-    """Whether the bracket around this token was opened by a function's name, not by a query."""
-    depth = 0
-    for place in range(at - 1, 0, -1):
-        text = tokens[place][1]
-        depth += {")": 1, "(": -1}.get(text, 0)
-        if depth < 0:
-            return tokens[place - 1][1].lower() in ("extract", "trim", "substring", "overlay", "position")
-    return False
