Notes of a running dispatch reach the module; an unreadable answer is abandoned first

Exchange._answered took it for an answer that cannot be read, so the batch went out again while the first ran on. Now handed to the module as on the simulator's wire; words that are really unknown are abandoned (cancel, or the end of the connection) before their end is told. Tests: a table of notes, and of unknown words by allowance.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -116,6 +116,22 @@
     assert fleet.ends == [("a", Cause.TIME_OUT, Stage.WRITTEN)]
 
 
+@pytest.mark.parametrize(("may_cancel", "may_copy"), [(True, False), (False, False), (False, True)])
+def test_what_answered_with_an_unknown_word_is_abandoned_before_its_end_is_told(may_cancel, may_copy):
+    fleet = Fleet(may_cancel=may_cancel, may_copy=may_copy)
+    fleet.send("a")
+    wire = fleet.connect()
+    wire.leave()
+    fleet.say(command(b"a", b"WHAT", b"-", b""))
+    if may_cancel:
+        assert fleet.ends == [] and wire.value() == command(b"cancel", b"a")
+        wire.leave()
+    elif not may_copy:
+        assert fleet.ends == [] and wire.aborted
+        fleet.lose()
+    assert fleet.ends == [("a", Cause.UNREADABLE, Stage.WRITTEN)]
+
+
 def test_a_cancel_that_cannot_leave_ends_its_connection():
     fleet = Fleet()
     fleet.send("a", 1.0)
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from vanerelay.interface import NEVER_RAN, EngineState, Outcome
+from vanerelay.interface import NEVER_RAN, EngineState, NoteKind, Outcome
 from vanerelay.net import ends, feed, frames, resp
 from vanerelay.net.buffers import BLOCK, Gather, Pool
 from vanerelay.net.clock import Clock
@@ -203,6 +203,20 @@
     assert talk.takes(b"q") and talk.takes(b"s")
 
 
+@SIZES
+@pytest.mark.parametrize(("told", "note"), [
+    ("n=frac,datum=0.5", resp.Note(NoteKind.PROGRESS, 0.5)),
+    ("n=missing,datum=13", resp.Note(NoteKind.SPILL, 13.0)),
+    ("n=parked,datum=2", resp.Note(NoteKind.WAITING, 2.0)),
+    ("n=other,datum=2", None), ("n=frac,datum=x", None), ("n=frac", None), ("-", None),
+])
+def test_a_note_ends_nothing(told, note, size):
+    """Taken for an answer that cannot be read, it had a batch dispatched again beside the one that ran on."""
+    talk, data = exchange(), said(b"q", b"NOTE", told) + said(b"z", b"NOTE", told) + said(b"q", b"ERR")
+    got = [said for piece in pieces(data, size) for _, said in talk.feed(piece)]
+    assert got[:-1] == ([note] if note else []) and got[-1].cause is Cause.ERR
+
+
 def test_an_unreadable_answer_ends_all_that_is_open_and_the_connection_takes_no_more():
     talk = exchange()
     talk.serve(b"r", b"report", 1500, 0, b"S")
--- a/vanerelay/net/ends.py
+++ b/vanerelay/net/ends.py
@@ -37,6 +37,7 @@
     stage: Stage
     rows: bytes = b""
     told: dict[str, str] = field(default_factory=dict)
+    why: str = ""  # of what could not be read
 
 
 # What is not proved never to have run is not said not to have run. An answer whose pages are missing was
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -16,7 +17,7 @@
 
 from vanerelay.net.buffers import Pool
 from vanerelay.net.ends import Cause, End, Stage
-from vanerelay.net.resp import Exchange
+from vanerelay.net.resp import Exchange, Note
 
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
@@ -26,7 +27,7 @@
 class Attempt:
     """One dispatch on its way. `done` fires once, with its End; it never fails."""
 
-    __slots__ = ("body", "done", "grant", "group", "ident", "line", "patience", "timer", "used")
+    __slots__ = ("body", "done", "grant", "group", "ident", "line", "noted", "patience", "timer", "used")
 
     def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes,
                  used: list[Line]) -> None:
@@ -34,6 +35,7 @@
         self.ident, self.group, self.patience, self.grant, self.body = ident, group, patience, grant, body
         self.used = used
         self.done: Deferred[End] = Deferred()
+        self.noted: Callable[[Note], None] = lambda note: None
         self.line: Line | None = None
         self.timer: Any = None
 
@@ -145,15 +147,18 @@
         stage = self.exchange.give_up(attempt.ident)
         del self.attempts[attempt.ident]
         attempt.line = None
-        if self._peer.alone and stage is Stage.WRITTEN:
-            self._leaving.append((attempt, End(cause, stage)))
+        self._abandon(attempt, End(cause, stage))
+
+    def _abandon(self, attempt: Attempt, end: End) -> None:
+        if self._peer.alone and end.stage is Stage.WRITTEN:
+            self._leaving.append((attempt, end))
             self._abort()
         elif self.exchange.out:
-            self._leaving.append((attempt, End(cause, stage)))
+            self._leaving.append((attempt, end))
             self._flush()
             self._peer.reactor.callLater(self._peer.connect_s, self._stuck, attempt)
         else:
-            attempt.end(End(cause, stage))
+            attempt.end(end)
             self._retire()
 
     def _stuck(self, given_up: Attempt) -> None:
@@ -174,11 +179,20 @@
     def received(self, data: bytes) -> None:
         for ident, end in self.exchange.feed(data):
             self.used_at = self._peer.reactor.seconds()
+            if isinstance(end, Note):
+                self.attempts[ident].noted(end)
+                continue
             attempt = self.attempts.pop(ident)
+            if end.cause is not Cause.UNREADABLE:
+                attempt.end(end)
+                continue
+            if not self._peer.warned:
+                self._peer.warned = True
+                log.warning("engine answered what cannot be read", host=self._peer.host, why=end.why)
             if self.exchange.broken:
                 self._leaving.append((attempt, end))
             else:
-                attempt.end(end)
+                self._abandon(attempt, end)
         if self.exchange.broken:
             self._abort()
         else:
@@ -256,6 +270,7 @@
         # The engine closes at idle_s; ours is closed earlier by what a connection may take to come up.
         self._idle_s = max(idle_s / 2, idle_s - connect_s)
         self.lines: list[Line] = []
+        self.warned = False  # of what it answered, once in its life
 
     def line_for(self, attempt: Attempt) -> Line | None:
         now = self.reactor.seconds()
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from vanerelay.interface import NoteKind
 from vanerelay.net.buffers import Gather, Pool, number
 from vanerelay.net.ends import Cause, End, Stage
 
@@ -12,6 +13,10 @@
 _BULK_MOST = 65_536  # well past a page with its fields: what is longer is no answer
 
 
+# The page for deployments without notes leaves them out; the words are those of the names on the sockets.
+NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILL, "parked": NoteKind.WAITING}
+
+
 class Unreadable(Exception):
     """What came is not the protocol; it stays within this file."""
 
@@ -86,6 +91,21 @@
     return dict(pair.partition("=")[::2] for pair in text.decode("utf-8", "replace").split(","))
 
 
+@dataclass(frozen=True, slots=True)
+class Note:
+    """News of a dispatch that goes on."""
+
+    kind: NoteKind
+    value: float
+
+
+def _note(told: dict[str, str]) -> Note | None:
+    try:
+        return Note(NOTES[told["n"]], float(told["datum"]))
+    except (KeyError, ValueError):
+        return None
+
+
 @dataclass(slots=True)
 class _Pages:
     """An answer in the making: what its first page told, and the pages that are there."""
@@ -139,27 +159,33 @@
         pages = self.open.pop(ident)
         if pages is not None:
             self.out.append(command(b"release", ident))
-        elif self._may_cancel:
+        else:
+            self._abandon(ident)
+        return Stage.WRITTEN if pages is None else Stage.PAGES_MISSING
+
+    def _abandon(self, ident: bytes) -> None:
+        if self._may_cancel:
             self.out.append(command(b"cancel", ident))
         else:
             self._left_open.add(ident)
-        return Stage.WRITTEN if pages is None else Stage.PAGES_MISSING
 
     def health(self, tag: bytes) -> None:
         self.out.append(command(b"health", tag))
 
-    def feed(self, data: bytes) -> Iterator[tuple[bytes, End]]:
+    def feed(self, data: bytes) -> Iterator[tuple[bytes, End | Note]]:
         for parts in self._reader.feed(data):
             if parts is None:
                 # Nothing after this can be told apart: all that is open here may have run.
                 for ident in list(self.open):
-                    yield ident, self._end(ident, Cause.UNREADABLE)
+                    yield ident, self._end(ident, Cause.UNREADABLE, why="no array of strings")
             elif len(parts) == 4:
                 ident = parts[0]
                 if ident in self.open:
-                    end = self._answered(ident, parts[1], fields(parts[2]), parts[3])
-                    if end is not None:
-                        yield ident, end
+                    told = fields(parts[2])
+                    said = _note(told) if parts[1] == b"NOTE" else self._answered(
+                        ident, parts[1], told, parts[3])
+                    if said is not None:
+                        yield ident, said
                 else:
                     self._left_open.discard(ident)
 
@@ -175,18 +201,18 @@
         if word == b"OK" and pages is None:
             total = number(told.get("total", ""), RESULT_MOST)
             if not total:
-                return self._end(ident, Cause.UNREADABLE)
+                return self._end(ident, Cause.UNREADABLE, why="no number of pages")
             pages = self.open[ident] = _Pages(told, total)
             if not pages.put(0, body):
-                return self._end(ident, Cause.UNREADABLE)
+                return self._end(ident, Cause.UNREADABLE, why="a page is too long")
             self.out.extend(command(b"read", ident, b"%d" % page) for page in range(1, pages.total))
         elif word == b"ROWS" and pages is not None:
             index = number(told.get("index", ""), RESULT_MOST)
             if index is None or not pages.put(index, body):
-                return self._end(ident, Cause.UNREADABLE)
+                return self._end(ident, Cause.UNREADABLE, why="a page that was not missing, or too long")
         else:
             cause = {b"BUSY": Cause.BUSY, b"ERR": Cause.ERR, b"VOID": Cause.VOID}.get(word, Cause.UNREADABLE)
-            return self._end(ident, cause, told)
+            return self._end(ident, cause, told, repr((word[:16], told)))
         if len(pages.pages) < pages.total:
             return None
         if pages.total > 1:
@@ -195,8 +221,10 @@
         rows = b"".join(pages.pages[page] for page in range(pages.total))
         return End(Cause.OK, Stage.WHOLE, rows, pages.told)
 
-    def _end(self, ident: bytes, cause: Cause, told: dict[str, str] | None = None) -> End:
+    def _end(self, ident: bytes, cause: Cause, told: dict[str, str] | None = None, why: str = "") -> End:
         pages = self.open.pop(ident)
         if pages is not None:
             self.out.append(command(b"release", ident))
-        return End(cause, Stage.WRITTEN if pages is None else Stage.PAGES_MISSING, b"", told or {})
+        elif cause is Cause.UNREADABLE and not self.broken:
+            self._abandon(ident)  # for all that is known it runs on
+        return End(cause, Stage.WRITTEN if pages is None else Stage.PAGES_MISSING, b"", told or {}, why)
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -17,6 +17,7 @@
 from vanerelay.net.ends import Cause, End, Stage
 from vanerelay.net.engines import Attempt, Engines, Line
 from vanerelay.net.peers import Peers
+from vanerelay.net.resp import Note
 from vanerelay.net.statements import table_group
 
 log = structlog.get_logger()
@@ -160,6 +161,10 @@
                        round(work * 10), memory, report)
         self._settle(held)
 
+    def _noted(self, held: Request, number: int, note: Note) -> None:
+        if held.batch is not None:
+            self._call(held, held.batch.noted, number, note.kind, note.value)
+
     # Bookkeeping.
 
     def _call(self, held: Request | None, method: Callable[..., None], *values: Any) -> bool:
@@ -201,6 +206,7 @@
             held.name.encode(), held.group, max(1, wait // 10), held.grant, held.body, held.used)
         held.attempts.append(attempt)
         held.out += 1
+        attempt.noted = lambda note: self._noted(held, number, note)
         attempt.done.addCallback(self._ended, held, number, self.now)
         attempt.done.addErrback(self._fault)
         if held.ended or wait <= 0 or number >= self._most_dispatches:
