--- a/vanerelay/net/clock.py
+++ b/vanerelay/net/clock.py
@@ -29,13 +29,23 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock, self._started_at = clock, clock.now()
+        self._ended, self._latest = time.monotonic(), 0.0
         super().__init__()  # type: ignore[no-untyped-call]
 
     def doIteration(self, delay: float | None) -> None:
         self._clock.looked, self._started_at = self._started_at, self._clock.now()
-        due = time.monotonic() + (delay or 0.0)
+        began = time.monotonic()
+        due = began + (delay or 0.0)
         super().doPoll(delay)  # type: ignore[no-untyped-call]
+        late = time.monotonic() - due
         # What comes during this second look came after the first began.
-        if delay is not None and time.monotonic() - due > self.LATE:
+        if delay is not None and late > self.LATE:
             self._clock.looked = self._started_at
             super().doPoll(0)  # type: ignore[no-untyped-call]
+        self._latest = max(self._latest, late, began - self._ended)
+        self._ended = time.monotonic()
+
+    def latest(self) -> float:
+        """By how many seconds a pass, of timers or of sockets, was late at most since this was asked last."""
+        latest, self._latest = self._latest, 0.0
+        return latest
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -21,6 +21,7 @@
 # After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
 # counts what comes within 0.7 s.
 CONNECTIONS_S, REQUESTS_S = 0.5, 0.7
+STOOD_STILL_S = 0.05  # as much as the page adds to each time limit on sockets
 CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
 STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
 
@@ -95,6 +96,9 @@
 
     def _sweep(self) -> None:
         self._engines.sweep()
+        late = self._reactor.latest()
+        if late > STOOD_STILL_S:
+            log.warning("stood still", ms=round(late * 1000))
         self._reactor.callLater(1.0, self._sweep)
 
     def _drain(self) -> Deferred[None]:
