--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -49,7 +49,7 @@
         self.engines.listed(0, "127.0.0.1:9", 0, False)
 
     def send(self, name, time_out=5.0, used=None):
-        attempt = Attempt(name.encode(), b"look", 5000, 0, b"S", [] if used is None else used)
+        attempt = Attempt(name.encode(), b"look", 5000, 0, 0, b"S", [] if used is None else used)
         attempt.done.addCallback(lambda end: self.ends.append((name, end.cause, end.stage)))
         self.engines.send(0, attempt, time_out)
         return attempt
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -113,17 +113,19 @@
 
 def exchange(most=4, may_cancel=True):
     talk = resp.Exchange(Pool(), most, may_cancel)
-    talk.serve(b"q", b"report", 1500, 96, b"SELECT 1")
+    talk.serve(b"q", b"report", 1500, 96, 0, b"SELECT 1")
     talk.out.clear()
     return talk
 
 
 def test_a_dispatch_is_laid_out_as_the_page_says():
     talk = resp.Exchange(Pool(), 4, True)
-    talk.serve(b"q", b"report", 1500, 0, b"S")
-    talk.serve(b"r", b"report", 1500, 96, b"S")
+    talk.serve(b"q", b"report", 1500, 0, 0, b"S")
+    talk.serve(b"r", b"report", 1500, 96, 0, b"S")
     assert talk.out[0] == b"*4\r\n$5\r\nserve\r\n$1\r\nq\r\n$25\r\nsort=report,patience=1500\r\n$1\r\nS\r\n"
-    assert b"sort=report,patience=1500,pool=96" in talk.out[1]
+    talk.serve(b"s", b"report", 1500, 96, 2, b"S")
+    assert b"sort=report,patience=1500,pool=96\r\n" in talk.out[1]
+    assert b"sort=report,patience=1500,pool=96,band=2\r\n" in talk.out[2]
 
 
 TOLD = "total=3,elapsed=8.5,rss=40,l=queue:3;x0:0.4"
@@ -197,7 +199,7 @@
     assert talk.give_up(b"q") is Stage.WRITTEN
     assert talk.out == ([resp.command(b"cancel", b"q")] if may_cancel else [])
     assert talk.takes(b"q") == may_cancel and talk.takes(b"r")
-    talk.serve(b"r", b"report", 1500, 0, b"S")
+    talk.serve(b"r", b"report", 1500, 0, 0, b"S")
     assert talk.takes(b"s") == may_cancel  # one that the engine may still run counts among the most
     assert list(talk.feed(said(b"q", b"OK", "total=1", b"x"))) == [] and b"r" in talk.open
     assert talk.takes(b"q") and talk.takes(b"s")
@@ -219,7 +221,7 @@
 
 def test_an_unreadable_answer_ends_all_that_is_open_and_the_connection_takes_no_more():
     talk = exchange()
-    talk.serve(b"r", b"report", 1500, 0, b"S")
+    talk.serve(b"r", b"report", 1500, 0, 0, b"S")
     assert [(i, e.cause) for i, e in talk.feed(b"?")] == []
     got = list(talk.feed(b"?" * 40))
     assert [(i, e.cause) for i, e in got] == [(b"q", Cause.UNREADABLE), (b"r", Cause.UNREADABLE)]
@@ -228,7 +230,7 @@
 
 def test_what_is_lost_tells_how_far_it_had_come():
     talk = exchange()
-    talk.serve(b"r", b"report", 1500, 0, b"S")
+    talk.serve(b"r", b"report", 1500, 0, 0, b"S")
     assert list(talk.feed(PAGE)) == []
     assert talk.lost() == {b"q": Stage.PAGES_MISSING, b"r": Stage.WRITTEN} and not talk.open
 
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -27,13 +27,14 @@
 class Attempt:
     """One dispatch on its way. `done` fires once, with its End; it never fails."""
 
-    __slots__ = ("body", "done", "grant", "group", "ident", "line", "noted", "patience", "timer", "used")
+    __slots__ = ("body", "done", "grant", "group", "ident", "line", "noted", "patience", "priority",
+                 "timer", "used")
 
-    def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes,
+    def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, priority: int, body: bytes,
                  used: list[Line]) -> None:
         """`used`: the connections that the batch's dispatches went over; each takes one of them only."""
-        self.ident, self.group, self.patience, self.grant, self.body = ident, group, patience, grant, body
-        self.used = used
+        self.ident, self.group, self.patience, self.body, self.used = ident, group, patience, body, used
+        self.grant, self.priority = grant, priority
         self.done: Deferred[End] = Deferred()
         self.noted: Callable[[Note], None] = lambda note: None
         self.line: Line | None = None
@@ -127,7 +128,8 @@
             return
         attempt.used.append(self)
         self.attempts[attempt.ident] = attempt
-        self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.body)
+        self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.priority,
+                            attempt.body)
         self._written.append(attempt.ident)
         self._flush()
 
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -147,10 +147,14 @@
         room = len(self.open) + len(self._left_open) < self._most and not self._reader.broken
         return room and ident not in self.open and ident not in self._left_open
 
-    def serve(self, ident: bytes, group: bytes, patience: int, grant: int, body: bytes) -> None:
+    def serve(self, ident: bytes, group: bytes, patience: int, grant: int, priority: int,
+              body: bytes) -> None:
+        """Grant and priority of 0 are left to the engine."""
         told = b"sort=%b,patience=%d" % (group, patience)
         if grant > 0:
             told += b",pool=%d" % grant
+        if priority > 0:
+            told += b",band=%d" % priority
         self.open[ident] = None
         self.out.append(command(b"serve", ident, told, body))
 
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -30,8 +30,8 @@
 class Request(Held):
     """A batch on the sockets: who waits for it, and what goes to an engine."""
 
-    __slots__ = ("attempts", "body", "client", "grant", "group", "guard", "limit", "service", "stream",
-                 "used")
+    __slots__ = ("attempts", "body", "client", "grant", "group", "guard", "limit", "priority", "service",
+                 "stream", "used")
 
     def __init__(self, service: Service, client: ClientConnection, stream: int, name: str, group: str,
                  limit: int, body: bytes) -> None:
@@ -40,7 +40,7 @@
         self.group, self.limit, self.body = group.encode(), limit, body
         self.attempts: list[Attempt | None] = []
         self.used: list[Line] = []
-        self.grant = 0
+        self.grant = self.priority = 0
         self.guard: Any = None
 
     def left(self) -> None:
@@ -58,7 +58,9 @@
         self._customers = {str(o.get("name")): row for row, o in enumerate(profile.get("orgs") or [])}
         limits = profile.get("limits") or {}
         self._most_open = int(limits.get("maxOpen") or 0)
-        self._most_dispatches = terms.allowances(profile).most_dispatches
+        allowed = terms.allowances(profile)
+        self._most_dispatches, self._grants = allowed.most_dispatches, allowed.grants
+        self._priorities = allowed.priorities
         self._reported = terms.report_names(profile)
         self._names = Names()
         self._holding: Holding[Request] = Holding()
@@ -203,7 +205,8 @@
         left = held.limit - self.now
         wait = left if time_out == 0 else min(time_out, left)
         attempt = Attempt(
-            held.name.encode(), held.group, max(1, wait // 10), held.grant, held.body, held.used)
+            held.name.encode(), held.group, max(1, wait // 10), held.grant, held.priority,
+            held.body, held.used)
         held.attempts.append(attempt)
         held.out += 1
         attempt.noted = lambda note: self._noted(held, number, note)
@@ -218,8 +221,10 @@
         log.error("an attempt's end met a fault", fault=fault.getTraceback())
 
     def grant(self, batch: int, memory: float, priority: int) -> None:
-        # The page has no word for a priority: engines on sockets run all alike.
-        self._holding.at(batch).grant = round(memory)
+        held = self._holding.at(batch)
+        held.grant = round(memory) if self._grants else 0
+        # The page at hand has no priority, as its engines heed none; the word is that of the names file.
+        held.priority = priority if self._priorities else 0
 
     def push_back(self, batch: int, retry_after: int) -> None:
         held = self._holding.at(batch)
