--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -1,12 +1,16 @@
 """The drivers of engines and clients, and the service, on transports and a clock that the tests move."""
 from __future__ import annotations
 
+import json
+
 import pytest
+from click.testing import CliRunner
 from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError, TimeoutError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from tests.helpers import SERVICES
+from vanerelay.cli import main
 from vanerelay.interface import NEVER_RAN
 from vanerelay.net import ends, frames
 from vanerelay.net.buffers import Pool
@@ -14,6 +18,7 @@
 from vanerelay.net.clock import Clock
 from vanerelay.net.ends import Cause, Stage
 from vanerelay.net.engines import Attempt, Engines
+from vanerelay.net.peers import Peers
 from vanerelay.net.resp import command
 from vanerelay.net.service import Request, Service
 
@@ -410,6 +415,46 @@
     assert late.disconnecting and served.service.open == 3
 
 
+@pytest.mark.parametrize(("peer", "size", "sent"), [
+    (1, 256, ("127.0.0.3", 7)), (None, 10, ("127.0.0.9", 7)), (1, 257, None)])
+def test_datagrams_go_to_one_peer_or_all_and_none_is_too_long(peer, size, sent):
+    peers, out = Peers("127.0.0.1:7", ["127.0.0.2:7", "127.0.0.3:7"], "127.0.0.9:7"), []
+    peers.tell(peer, b"before it is open")
+    peers.transport = type("Datagrams", (), {"write": staticmethod(lambda data, to: out.append((data, to)))})
+    peers.tell(peer, b"x" * size)
+    peers.datagramReceived(b"\xff" * 2000, ("127.0.0.2", 7))  # what comes is dropped
+    assert out == ([(b"x" * size, sent)] if sent else [])
+
+
+def test_a_draining_connection_takes_what_still_comes_and_ends_when_all_is_answered():
+    served = Served()
+    served.ask(1)
+    served.client.last()
+    served.client.last()
+    served.client.end_when_answered()
+    served.ask(2)
+    assert served.service.open == 2 and not served.wire.disconnecting
+    served.advance(5.1)
+    assert served.wire.disconnecting and served.service.open == 0
+    assert [stream for stream, _ in served.answers() if stream] == [1, 2]
+
+
+@pytest.mark.parametrize(("words", "code", "said"), [
+    (["version"], 0, "vanerelay 0."), (["check", "missing.json"], 2, "missing.json"),
+    (["check", "good.json"], 0, "engines known: 1"), (["serve"], 2, "--config"),
+    (["check", "empty.json"], 2, "nothing told under"), (["--help"], 0, "serve"),
+])
+def test_the_command_line(words, code, said, tmp_path, monkeypatch):
+    monkeypatch.chdir(tmp_path)
+    row = {"id": "e", "host_port": "127.0.0.1:9", "phase": "SERVING"}
+    told = {"limits": {}, "feed": "127.0.0.1:1", "settings": SERVICES, "known": {
+        "n": 1, "events": [{"n": 1, "members": {"revision": 1, "complete": True, "members": [row]}}]}}
+    (tmp_path / "good.json").write_text(json.dumps(told))
+    (tmp_path / "empty.json").write_text("{}")
+    result = CliRunner().invoke(main, words)
+    assert result.exit_code == code and said in result.output
+
+
 def test_reports_and_bills_reach_the_module_in_its_units():
     served = Served()
     told = "queue:3;x0:0.4;inflight:7;x1:x;new:1"
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -312,7 +312,8 @@
 
 @pytest.mark.parametrize("told", [
     b"", b"[]", b"{}", b'{"events":5}', b'{"events":[5]}', {"events": [event(1, row(phase="WHAT"))]},
-    {"events": [event(1, row(host_port="nowhere"))]}, {"events": [event(1, row(host_port="h:0"))]},
+    {"events": [event(1, row(host_port="nowhere"))]}, {"events": [event(1, row(host_port="127.0.0.1:0"))]},
+    {"events": [event(1, row(host_port="a.name:9"))]}, {"events": [event(1, row(host_port="127.0.0.1:x"))]},
     {"events": [event(1, {"id": "e"})]},
 ])
 def test_nonsense_from_the_feed_changes_nothing(told):
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -48,7 +48,7 @@
         self._reader = frames.FrameReader(clients.pool)
         self.open: dict[int, Asked] = {}
         self._since: int | None = None  # what is read next may have come then, earlier than the last look
-        self._last_frame_sent = self._closing = self._lost = False
+        self._last_frame_sent = self._closing = self._deaf = self._lost = False
         self._stuck: Any = None
 
     def connectionMade(self) -> None:
@@ -65,13 +65,12 @@
         self._read(data, since)
 
     def _read(self, data: bytes, since: int) -> None:
-        for frame in self._reader.feed(data):
-            if self._closing:
-                return
+        for frame in () if self._deaf else self._reader.feed(data):
             if isinstance(frame, frames.Malformed):
                 log.warning("client sent what cannot be read", why=frame.why)
                 # The rest of this connection cannot be told apart. What was taken on it is still answered.
                 self.transport.write(frames.answer(frames.ANSWER, 0, frames.ERRORED, {}))
+                self._deaf = True
                 self.end_when_answered()
                 return
             try:
@@ -113,12 +112,12 @@
             self.transport.write(frames.frame(frames.LAST, 0))
 
     def end_when_answered(self) -> None:
+        """Ends once nothing is open; what still comes until then is taken and answered like all else."""
         self._closing = True
-        self._reader.drop()
         self._rest()
 
     def end(self) -> None:
-        self._closing = True
+        self._closing = self._deaf = True
         if not self._lost:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
--- a/vanerelay/net/feed.py
+++ b/vanerelay/net/feed.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Any
 
 from vanerelay.interface import EngineEntry, EngineState
@@ -190,8 +191,9 @@
 
 def _address(text: str) -> str:
     host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65_536:
-        raise ValueError(f"no address: {text!r}")
+    IPv4Address(host)  # there is no DNS, and looking a name up would start threads
+    if not 0 < int(port) < 65_536:
+        raise ValueError(f"no port: {text!r}")
     return text
 
 
