--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Build, test, lint and run. The operators' own commands stand in deploy/balancer.toml.
+CONFIG ?= config.json
+DEV = .venv-dev/bin
+
+.PHONY: build dev test lint run
+
+build:
+	(test -x .venv/bin/python || python3 -m venv .venv) && .venv/bin/pip -q install --disable-pip-version-check -r requirements.txt
+	.venv/bin/python -m compileall -q vanerelay
+
+dev:
+	test -x $(DEV)/python || python3 -m venv .venv-dev
+	$(DEV)/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
+
+test: dev
+	$(DEV)/python -m pytest -q
+
+lint: dev
+	$(DEV)/ruff check vanerelay tests
+	$(DEV)/mypy
+
+run: build
+	LB_CONFIG=$(CONFIG) exec .venv/bin/python -m vanerelay serve
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -101,6 +101,17 @@
     assert fleet.ends == [(n, Cause.LOST, s) for n, s in zip("ab", stages, strict=True)]
 
 
+def test_a_dispatch_with_a_cancel_behind_it_may_have_left_whole():
+    """Only the last command handed over is known not to have: here that is the cancel."""
+    fleet = Fleet()
+    fleet.send("a", 1.0)
+    fleet.send("b", 5.0)
+    fleet.connect()
+    fleet.reactor.advance(1.0)
+    fleet.lose()
+    assert sorted(fleet.ends) == [("a", Cause.TIME_OUT, Stage.WRITTEN), ("b", Cause.LOST, Stage.WRITTEN)]
+
+
 def test_a_time_out_before_the_connection_is_up_sends_nothing():
     fleet = Fleet()
     fleet.send("a", 0.1)
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -99,7 +99,7 @@
         self.exchange = Exchange(peer.pool, peer.most, peer.may_cancel)
         self.waiting: deque[Attempt] = deque()
         self.attempts: dict[bytes, Attempt] = {}
-        self._written: list[bytes] = []  # ids handed to the transport and not known to have left whole
+        self._last: bytes | None = None  # its dispatch was handed over last and is not known to have left
         self._leaving: list[tuple[Attempt, End]] = []  # given up, and the word of it not known to have left
         self.used_at = peer.reactor.seconds()
         self._protocol: EngineProtocol | None = None
@@ -130,12 +130,11 @@
         self.attempts[attempt.ident] = attempt
         self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.priority,
                             attempt.body)
-        self._written.append(attempt.ident)
-        self._flush()
+        self._flush(attempt.ident)
 
     def drained(self) -> None:
         """All that was handed to the transport has left."""
-        self._written.clear()
+        self._last = None
         leaving, self._leaving = self._leaving, []
         for attempt, end in leaving:
             attempt.end(end)
@@ -206,10 +205,10 @@
             return
         self.over = True
         self._peer.lines.remove(self)
-        last = self._written[-1] if self._written else None
         for ident, stage in self.exchange.lost().items():
-            # The transport did not report that all had left, so its last command did not leave whole.
-            partly = ident == last and stage is Stage.WRITTEN
+            # The transport did not report that all had left, so its last command did not leave whole. One
+            # with a cancel or a read behind it may have: what is missing may be of those.
+            partly = ident == self._last and stage is Stage.WRITTEN
             self.attempts.pop(ident).end(End(cause, Stage.PARTLY_WRITTEN if partly else stage))
         self.drained()
         self._fail_waiting(cause)
@@ -255,8 +254,9 @@
         for attempt in waiting:
             attempt.end(End(cause, Stage.NOT_CONNECTED))
 
-    def _flush(self) -> None:
+    def _flush(self, last: bytes | None = None) -> None:
         if self._protocol is not None and self.exchange.out and not self.over:
+            self._last = last
             self._protocol.transport.writeSequence(self.exchange.out)
             self.exchange.out = []
 
