--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -71,7 +71,7 @@
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
         click.echo(f"vanerelay: configuration {config}: {type(fault).__name__}: {fault}", err=True)
         sys.exit(2)
-    program.run(name)
+    program.run()
 
 
 @main.command()
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -83,16 +83,16 @@
         except (CannotListenError, ValueError, OverflowError) as fault:
             raise BadStart(f"cannot listen: {fault}") from None
 
-    def run(self, name: str) -> None:
+    def run(self) -> None:
         self.roster.follow()
         self._sweep()
         self._reactor.addSystemEventTrigger("before", "shutdown", self._drain)
-        log.info("serving", name=name)
+        log.info("serving")
         # What was made until now stays for good: collecting it again and again would cost the loop its time.
         gc.collect()
         gc.freeze()
         self._reactor.run()
-        log.info("ended", name=name)
+        log.info("ended")
 
     def _sweep(self) -> None:
         self._engines.sweep()
