Collections only with nothing open or half of the memory in use

Seen: one batch lost on fleet-1, lines 'stood still' of 117 to 169 ms. At fault: the full collections that _sweep made once 100,000 objects had come, under overload every few seconds.

--- a/vanerelay/net/clock.py
+++ b/vanerelay/net/clock.py
@@ -30,7 +30,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock, self._started_at = clock, clock.now()
-        self._ended, self._latest = time.monotonic(), 0.0
+        self._ended, self._latest = 0.0, 0.0  # no pass has ended yet: the start is none
         super().__init__()  # type: ignore[no-untyped-call]
 
     def doIteration(self, delay: float | None) -> None:
@@ -44,7 +44,7 @@
         if delay is not None and late > self.LATE:
             self._clock.looked = self._started_at
             super().doPoll(0)  # type: ignore[no-untyped-call]
-        self._latest = max(self._latest, late, began - self._ended)
+        self._latest = max(self._latest, late, began - (self._ended or began))
         self._ended = time.monotonic()
 
     def latest(self) -> float:
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -3,6 +3,7 @@
 
 import gc
 import json
+import resource
 from typing import Any
 
 import structlog
@@ -21,11 +22,13 @@
 # After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
 # counts what comes within 0.7 s.
 CONNECTIONS_S, REQUESTS_S = 0.5, 0.7
-LITTLE, OBJECT_BYTES = 10_000, 500  # objects worth a collection with nothing open; what one takes, amply
+LITTLE = 10_000  # objects made since the last collection that make one worth while
 STOOD_STILL_S = 0.05  # as much as the page adds to each time limit on sockets
 CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
 STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
 
+PAGE_BYTES = resource.getpagesize()
+
 log = structlog.get_logger()
 
 
@@ -74,8 +77,7 @@
         self.roster = Roster(reactor, pool, told["feed"], locations, kinds, connect_s, self.service.listed)
         self.clients = Clients(reactor, clock, self.service, pool, clients)
         self._engines, self._drained = engines, Deferred[None]()
-        # New objects that have not gone may be cycles, at worst: a quarter of the memory told is let to them.
-        self._collect_past = room // OBJECT_BYTES
+        self._collect_past = room * STATEMENT_SHARE // 2
         wrong = self.roster.apply(told["known"])
         if wrong is not None:
             raise BadStart(f"the list known at the start: {wrong}")
@@ -104,11 +106,16 @@
         late = self._reactor.latest()
         if late > STOOD_STILL_S:
             log.warning("stood still", ms=round(late * 1000))
-        allocated = gc.get_count()[0]
-        if allocated > (LITTLE if self.service.open == 0 else self._collect_past):
+        # With batches open a collection costs what it is to spare them: over 100 ms under overload.
+        if gc.get_count()[0] > LITTLE and (self.service.open == 0 or self._memory_short()):
             gc.collect()
         self._reactor.callLater(1.0, self._sweep)
 
+    def _memory_short(self) -> bool:
+        """Whether half of the memory told is in use."""
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * PAGE_BYTES > self._collect_past
+
     def _drain(self) -> Deferred[None]:
         """SIGTERM: what was taken is answered, and connections may come for as long as the page says."""
         log.info("draining", open=self.service.open)
