--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -204,7 +204,11 @@
             def log_message(self, *_: Any) -> None:
                 pass
 
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        class Server(http.server.ThreadingHTTPServer):
+            def handle_error(self, *_: Any) -> None:
+                pass  # the program went while its poll was out
+
+        self.server = Server(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, args=(PAUSE,), daemon=True).start()
 
