--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -207,7 +207,10 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, clock: Clock, service: Served, pool: Pool, most: int) -> None:
+    def __init__(self, reactor: Any, clock: Clock, service: Served, pool: Pool, most: int,
+                 spare: Callable[[], bool]) -> None:
+        """`most` connections are their share; past it one more is kept while there is a spare descriptor."""
+        self._spare = spare
         self.reactor, self.clock, self.service, self.pool, self._most = reactor, clock, service, pool, most
         self._all: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest unused first
         self._port: Any = None
@@ -236,7 +239,8 @@
             log.warning("clients hold their share of the descriptors", connections=len(self._all))
         idle = next((other for other in self._all if not other.open and other is not connection), None)
         if idle is None:
-            return False
+            # Turned away, what it has sent already would be lost: only where no descriptor is left.
+            return self._spare()
         del self._all[idle]
         idle.end()
         return True
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -75,7 +75,9 @@
         names = profile.get("failureDomains") or [], profile.get("kinds") or []
         locations, kinds = ({name: row for row, name in enumerate(listed)} for listed in names)
         self.roster = Roster(reactor, pool, told["feed"], locations, kinds, connect_s, self.service.listed)
-        self.clients = Clients(reactor, clock, self.service, pool, clients)
+        self.clients = Clients(
+            reactor, clock, self.service, pool, clients,
+            lambda: self.clients.number + engines.connections() + OWN < descriptors)
         self._engines, self._drained = engines, Deferred[None]()
         self._collect_past = room * STATEMENT_SHARE // 2
         wrong = self.roster.apply(told["known"])
