--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -177,7 +177,7 @@
 
     def __init__(self) -> None:
         self.events, self.spoil, self.asked, feed = list[dict[str, Any]](), list[bytes](), list[int](), self
-        self.news = threading.Condition()
+        self.news, self.hangs = threading.Condition(), 0
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -187,7 +187,10 @@
                 held, wait = int(query["SUB"][0]), int(query["wait"][0]) / 1000
                 with feed.news:
                     feed.asked.append(held)
-                    feed.news.notify_all()
+                    if feed.hangs:
+                        feed.hangs -= 1
+                        feed.news.wait_for(lambda: False, LONG)  # its connection stays open and silent
+                        return
                     if feed.spoil:
                         self.wfile.write(feed.spoil.pop(0))
                         self.close_connection = True
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -148,6 +148,17 @@
     assert client.answer()[:2] == (2, 0) and two.served() == ["a2"]
 
 
+def test_a_feed_that_hangs_is_asked_again_on_a_new_connection(started):
+    feed, one, two = Feed(), started.engine(returns), started.engine(returns)
+    feed.hangs = 1
+    node = started(member(one, "s-1"), feed=feed)
+    until(lambda: feed.hangs == 0, "the poll that hangs")
+    feed.heard(feed.tell(member(one, "s-1", "DELETED"), member(two, "s-2")))
+    client = node.client()
+    client.ask(1, "a1")
+    assert client.answer()[:2] == (1, 0) and two.served() == ["a1"]
+
+
 def test_an_old_connection_never_serves_the_next_process_at_its_address(started):
     """What is out on a connection to a process that the list has replaced is lost; nothing goes there."""
     old = started.engine(silent)
