SIGHUP reads the configuration again and follows the feed it names

Ruled out: memory (23 of 80 MB), a fault in the program (nothing in its log).

The signal is ignored until the configuration was read; from then on the program reads the file again and, where its feed differs, breaks off the poll that is out and asks the new one at once with the number it holds. A file that cannot be read leaves all as it was, with one line.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -159,6 +159,38 @@
     assert client.answer()[:2] == (1, 0) and two.served() == ["a1"]
 
 
+def test_a_new_configuration_moves_to_its_feed_at_once_and_nothing_is_dropped(started):
+    """Unhandled, SIGHUP ended the program. The poll that is out hangs, and is not waited for."""
+    held, old, new = [], Feed(), Feed()
+    one, two = started.engine(lambda e, c, i: held.append((c, i))), started.engine(returns)
+    old.hangs = 1
+    node = started(member(one, "s-1"), feed=old)
+    until(lambda: old.hangs == 0, "the poll that hangs")
+    client = node.client()
+    client.ask(1, "a1", "load")
+    until(lambda: held, "the dispatch")
+    new.events.extend(old.events)
+    told = json.loads(node.config.read_text())
+    node.config.write_text("{")
+    node.process.send_signal(signal.SIGHUP)
+    until(lambda: "not read again" in node.log.read_text(), "the line of the log")
+    node.config.write_text(json.dumps({**told, "feed": f"127.0.0.1:{new.server.server_address[1]}"}))
+    asked = len(old.asked)
+    node.process.send_signal(signal.SIGHUP)
+    until(lambda: new.asked, "a poll at the new one")
+    assert new.asked[0] == 1 and len(old.asked) == asked
+    new.heard(new.tell(member(one, "s-1", "DRAINING"), member(two, "s-2")))
+    client.ask(2, "a2")
+    assert client.answer()[:2] == (2, 0) and two.served() == ["a2"]
+    one.returns(*held[0])
+    assert client.answer()[:2] == (1, 0)
+    node.process.send_signal(signal.SIGTERM)
+    node.process.send_signal(signal.SIGHUP)
+    assert node.process.wait(30) == 0
+    new.server.shutdown()
+    new.server.server_close()
+
+
 def test_an_old_connection_never_serves_the_next_process_at_its_address(started):
     """What is out on a connection to a process that the list has replaced is lost; nothing goes there."""
     old = started.engine(silent)
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import logging
+import signal
 import sys
 
 import click
@@ -49,7 +50,9 @@
 @click.option("--name", envvar="LB_NAME", help="The name in the log [LB_NAME]; else as configured.")
 @click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
 def serve(config: str, listen: str | None, name: str | None, log_level: str) -> None:
-    """Serves clients until SIGTERM, then answers what it has taken and ends."""
+    """Serves clients until SIGTERM, then answers what it has taken and ends. SIGHUP reads the configuration
+    again and follows the feed that it names."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends the program; so early nothing was read
     _log(log_level)
     from twisted.internet.main import installReactor
 
@@ -71,6 +74,7 @@
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
         click.echo(f"vanerelay: configuration {config}: {type(fault).__name__}: {fault}", err=True)
         sys.exit(2)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(program.reload, config))
     program.run()
 
 
--- a/vanerelay/net/feed.py
+++ b/vanerelay/net/feed.py
@@ -189,11 +189,17 @@
     ])
 
 
-def _address(text: str) -> str:
-    host, _, port = text.rpartition(":")
+def split(address: str) -> tuple[str, int]:
+    """Host and port; a ValueError where they are none."""
+    host, _, port = address.rpartition(":")
     IPv4Address(host)  # there is no DNS, and looking a name up would start threads
     if not 0 < int(port) < 65_536:
-        raise ValueError(f"no port: {text!r}")
+        raise ValueError(f"no port: {address!r}")
+    return host, int(port)
+
+
+def _address(text: str) -> str:
+    split(text)
     return text
 
 
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -103,6 +103,13 @@
         self._reactor.run()
         log.info("ended")
 
+    def reload(self, path: str) -> None:
+        """SIGHUP: the feed may have moved. All else stays as it was at the start."""
+        try:
+            self.roster.move(str(read(path)["feed"]))
+        except (BadStart, ValueError) as fault:
+            log.warning("configuration not read again", why=str(fault))
+
     def _sweep(self) -> None:
         self._engines.sweep()
         late = self._reactor.latest()
--- a/vanerelay/net/roster.py
+++ b/vanerelay/net/roster.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import structlog
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
@@ -68,8 +68,9 @@
     def __init__(self, reactor: Any, pool: Pool, address: str, locations: Mapping[str, int],
                  kinds: Mapping[str, int], connect_s: float, changed: Callable[[feed.Change], None]) -> None:
         self._reactor, self._pool, self._connect_s, self._changed = reactor, pool, connect_s, changed
-        self._host, _, port = address.rpartition(":")
-        self._port, self._locations, self._kinds = int(port), locations, kinds
+        self._host, self._port = feed.split(address)
+        self._locations, self._kinds = locations, kinds
+        self._going: Deferred[None] | None = None
         self._numbering, self._stopped, self._sound = feed.Numbering(), False, True
         self._connection: FeedProtocol | None = None
 
@@ -88,18 +89,39 @@
         return "events are missing" if gap else None
 
     def follow(self) -> None:
-        self._go().addErrback(lambda fault: log.error("the feed's driver failed", fault=fault.getTraceback()))
+        self._going = going = self._go()
+        going.addErrback(lambda fault: log.error("the feed's driver failed", fault=fault.getTraceback()))
+
+    def move(self, address: str) -> None:
+        """Asks there from now on, and at once: the numbers go on, and what the old one had under way comes
+        again. Waiting for the poll that is out would take as long as it may hang."""
+        host, port = feed.split(address)
+        if self._stopped or (host, port) == (self._host, self._port):
+            return
+        log.info("the feed has moved", feed=address)
+        self._host, self._port = host, port
+        self._break_off()
+        self.follow()
 
     def stop(self) -> None:
         self._stopped = True
+        self._break_off()
+
+    def _break_off(self) -> None:
+        going, self._going = self._going, None
+        if going is not None:
+            going.cancel()
         if self._connection is not None:
             self._connection.give_up()
+            self._connection = None
 
     @inlineCallbacks
     def _go(self) -> Generator[Deferred[Any], Any, None]:
         while not self._stopped:
             try:
                 wrong = yield self._ask()
+            except CancelledError:
+                return
             except Exception as fault:  # a refused or timed-out connection, or a fault in what was handed on
                 wrong = f"{type(fault).__name__}: {fault}"
             if self._stopped:
@@ -110,7 +132,10 @@
             if wrong is not None:
                 if self._connection is not None:
                     self._connection.give_up()
-                yield deferLater(self._reactor, self._connect_s, lambda: None)
+                try:
+                    yield deferLater(self._reactor, self._connect_s, lambda: None)
+                except CancelledError:
+                    return
 
     @inlineCallbacks
     def _ask(self) -> Generator[Deferred[Any], Any, str | None]:
@@ -123,9 +148,11 @@
         asked = connection.ask(
             feed.request(f"{self._host}:{self._port}", self._numbering.held, WAIT_MS))
         silence = self._reactor.callLater(WAIT_MS / 1000 + self._connect_s, connection.give_up)
-        reply = yield asked
-        if silence.active():
-            silence.cancel()
+        try:
+            reply = yield asked
+        finally:
+            if silence.active():
+                silence.cancel()
         if isinstance(reply, feed.Unreadable):
             return reply.why
         if not reply.keep:
