A spoilt answer ends its connection at once; dispatches share none while descriptors last

Now any unreadable answer, and one that stopped short for as long as the module calls a pause, ends the connection, with the outcome SPOILT: it may have run, and says nothing of the engine's health. Each dispatch has a connection of its own as long as its engine's part of the descriptors lasts, so that little else is open on it.

--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -26,11 +26,12 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
+    SPOILT = "spoilt"  # something came that was no answer: no word of the engine's health
 
 
 NEVER_RAN = frozenset({Outcome.PUSHED_BACK, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
-UNSTOPPED = frozenset({Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED})  # may be running still
-SPOKEN = frozenset({Outcome.RETURNED, Outcome.ERRORED, Outcome.PUSHED_BACK})  # the engine's own word
+UNSTOPPED = frozenset({Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED, Outcome.SPOILT})  # may run on
+SPOKEN = frozenset({Outcome.RETURNED, Outcome.ERRORED, Outcome.PUSHED_BACK, Outcome.SPOILT})  # it lives
 
 
 class Effect(Enum):
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -101,6 +101,8 @@
         self.attempts: dict[bytes, Attempt] = {}
         self._last: bytes | None = None  # its dispatch was handed over last and is not known to have left
         self._leaving: list[tuple[Attempt, End]] = []  # given up, and the word of it not known to have left
+        self._awaited: tuple[int, int] | None = None  # what was begun when the patience with it began
+        self._patience: Any = None
         self.used_at = peer.reactor.seconds()
         self._protocol: EngineProtocol | None = None
         self.over = self._closing = False
@@ -148,6 +150,8 @@
         stage = self.exchange.give_up(attempt.ident)
         del self.attempts[attempt.ident]
         attempt.line = None
+        # Where an answer never came the next may not either: nothing new goes here.
+        self._closing = self._closing or cause is Cause.TIME_OUT
         self._abandon(attempt, End(cause, stage))
 
     def _abandon(self, attempt: Attempt, end: End) -> None:
@@ -178,33 +182,51 @@
             self._flush()
 
     def received(self, data: bytes) -> None:
+        if self.exchange.broken:
+            return
         for ident, end in self.exchange.feed(data):
             self.used_at = self._peer.reactor.seconds()
             if isinstance(end, Note):
                 self.attempts[ident].noted(end)
-                continue
-            attempt = self.attempts.pop(ident)
-            if end.cause is not Cause.UNREADABLE:
-                attempt.end(end)
-                continue
-            if not self._peer.warned:
-                self._peer.warned = True
-                log.warning("engine answered what cannot be read", host=self._peer.host, why=end.why)
-            if self.exchange.broken:
-                self._leaving.append((attempt, end))
+            elif end.cause is Cause.UNREADABLE:
+                self._spoilt(ident, end)
             else:
-                self._abandon(attempt, end)
+                self.attempts.pop(ident).end(end)
         if self.exchange.broken:
             self._abort()
         else:
             self._flush()
+            self._await()
             self._retire()
 
+    def _spoilt(self, ident: bytes, end: End) -> None:
+        """It may run on until the connection has ended: only then is its end told."""
+        if not self._peer.warned:
+            self._peer.warned = True
+            log.warning("engine answered what cannot be read", host=self._peer.host, why=end.why)
+        self._leaving.append((self.attempts.pop(ident), end))
+
+    def _await(self) -> None:
+        """Seen on sockets: a message that stopped in its middle held all else on its connection for good."""
+        awaited = self.exchange.awaits
+        if awaited == self._awaited:
+            return
+        self._awaited = awaited
+        if self._patience is not None and self._patience.active():
+            self._patience.cancel()
+        if awaited is not None:
+            self._patience = self._peer.reactor.callLater(self._peer.patience_s, self._stopped_short)
+
+    def _stopped_short(self) -> None:
+        if not self.over:
+            for ident, end in self.exchange.spoil("an answer stopped short"):
+                self._spoilt(ident, end)
+            self._abort()
+
     def lost(self, cause: Cause) -> None:
         if self.over:
             return
-        self.over = True
-        self._peer.lines.remove(self)
+        self._end()
         for ident, stage in self.exchange.lost().items():
             # The transport did not report that all had left, so its last command did not leave whole. One
             # with a cancel or a read behind it may have: what is missing may be of those.
@@ -228,10 +250,15 @@
     def _retire(self) -> None:
         worn = self._closing or self.exchange.worn
         if worn and not self.busy and not self._leaving and not self.over and self._protocol is not None:
-            self.over = True
-            self._peer.lines.remove(self)
+            self._end()
             self._protocol.close()
 
+    def _end(self) -> None:
+        self.over = True
+        self._peer.lines.remove(self)
+        if self._patience is not None and self._patience.active():
+            self._patience.cancel()
+
     def _up(self, protocol: EngineProtocol) -> None:
         self._protocol = protocol
         if self.over:
@@ -244,8 +271,7 @@
 
     def _failed(self, fault: Failure) -> None:
         if not self.over:
-            self.over = True
-            self._peer.lines.remove(self)
+            self._end()
             timed_out = isinstance(fault.value, ConnectTimeOut)
             self._fail_waiting(Cause.CONNECT_TIME_OUT if timed_out else Cause.REFUSED)
 
@@ -262,25 +288,33 @@
 
 
 class Peer:
-    """One engine process at its address: its connections, each filled before the next is called for."""
+    """One engine process at its address, and its connections.
+
+    What befalls a connection befalls all that is open on it. So each dispatch gets one that is idle, or a new
+    one as long as the engine's part of the descriptors lasts; only then do they share, the emptiest first.
+    """
 
     def __init__(self, reactor: Any, host: str, port: int, pool: Pool, most: int, may_cancel: bool,
-                 alone: bool, connect_s: float, idle_s: float) -> None:
+                 alone: bool, connect_s: float, idle_s: float, patience_s: float) -> None:
         self.reactor, self.host, self.port, self.pool = reactor, host, port, pool
         self.may_cancel, self.connect_s, self.alone = may_cancel, connect_s, alone
+        self.patience_s = patience_s
         self.most = 1 if alone else most
         # The engine closes at idle_s; ours is closed earlier by what a connection may take to come up.
         self._idle_s = max(idle_s / 2, idle_s - connect_s)
         self.lines: list[Line] = []
         self.warned = False  # of what it answered, once in its life
 
-    def line_for(self, attempt: Attempt) -> Line | None:
-        now = self.reactor.seconds()
+    def line_for(self, attempt: Attempt, share: int) -> Line | None:
+        """None: a new one is wanted, as none takes it, or all are busy and fewer than the share."""
+        now, best = self.reactor.seconds(), None
         for line in self.lines:
             if line.takes(attempt.ident) and line not in attempt.used and (
                     line.busy or now - line.used_at < self._idle_s):
-                return line
-        return None
+                if not line.busy:
+                    return line
+                best = line if best is None or line.busy < best.busy else best
+        return best if len(self.lines) >= share else None
 
     def call(self) -> Line:
         line = Line(self)
@@ -307,9 +341,11 @@
     """All engines by the module's indices."""
 
     def __init__(self, reactor: Any, pool: Pool, most: int, may_cancel: bool, may_copy: bool,
-                 connect_s: float, idle_s: float, connections: int) -> None:
+                 connect_s: float, idle_s: float, connections: int, patience_s: float) -> None:
         """`most` dispatches are open on a connection; one alone where a dispatch given up must be abandoned,
-        as the next would be a copy, and only the end of its connection does that."""
+        as the next would be a copy, and only the end of its connection does that. An answer that was begun
+        and does not go on for `patience_s` is spoilt."""
+        self._patience_s = patience_s
         self._reactor, self._pool, self._most, self._may_cancel = reactor, pool, most, may_cancel
         self._alone = not may_cancel and not may_copy
         self._connect_s, self._idle_s, self._connections, self._full = connect_s, idle_s, connections, False
@@ -334,7 +370,7 @@
         host, _, port = address.rpartition(":")
         self._lives[engine], self._addresses[address] = (address, started), engine
         self._peers[engine] = Peer(self._reactor, host, int(port), self._pool, self._most, self._may_cancel,
-                                   self._alone, self._connect_s, self._idle_s)
+                                   self._alone, self._connect_s, self._idle_s, self._patience_s)
 
     def only(self, there: set[int]) -> None:
         """A whole list: what it does not name is gone."""
@@ -358,7 +394,7 @@
         if peer is None:
             self._reactor.callLater(0, attempt.end, End(Cause.REFUSED, Stage.NOT_CONNECTED))
             return
-        line = peer.line_for(attempt)
+        line = peer.line_for(attempt, self._connections // len(self._peers))
         if line is None and self.connections() >= self._connections:
             # Past the descriptors left for engines: the engine is not to blame, and nothing was sent.
             if not self._full:
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -11,6 +11,7 @@
 from twisted.internet.error import CannotListenError
 
 from vanerelay import terms
+from vanerelay.decide import Health
 from vanerelay.net.buffers import Pool
 from vanerelay.net.clients import Clients
 from vanerelay.net.clock import UNITS, Clock
@@ -65,7 +66,7 @@
         descriptors = int(told["limits"].get("sockets") or 1024)
         clients = max(1, descriptors // CLIENT_SHARE)
         engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, allowed.copies,
-                          connect_s, idle_s, max(1, descriptors - clients - OWN))
+                          connect_s, idle_s, max(1, descriptors - clients - OWN), Health.QUIET / UNITS)
         peers = None
         if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -1,6 +1,7 @@
 """The conversation with an engine on one connection, without the connection: RESP arrays in, ends out."""
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -9,9 +10,9 @@
 from vanerelay.net.ends import Cause, End, Stage
 
 RESULT_MOST, PAGE_MOST = 48_000, 6_000  # bytes of a result, and of one page of it
-_LINE_MOST, _PARTS_MOST = 32, 8  # no line of a header is longer, no answer has more parts
+_LINE_MOST, _PARTS = 32, 4  # no line of a header is longer; every answer has so many parts
 _BULK_MOST = 65_536  # well past a page with its fields: what is longer is no answer
-
+_ROWS = re.compile(rb"(?:[^\x00-\x0c\x0e-\x1f]*\t[^\x00-\x0c\x0e-\x1f]*\t[^\x00-\x0c\x0e-\x1f]*\n)*")
 
 # The page for deployments without notes leaves them out; the words are those of the names on the sockets.
 NOTES = {"frac": NoteKind.PROGRESS, "missing": NoteKind.SPILL, "parked": NoteKind.WAITING}
@@ -27,6 +28,12 @@
     def __init__(self, pool: Pool) -> None:
         self._held, self._wanted, self._parts, self.broken = Gather(pool), 0, list[bytes](), False
         self._size = -1  # of the bulk string that is awaited
+        self.taken = 0  # arrays read so far
+
+    @property
+    def partial(self) -> bool:
+        """Whether what came last is not whole."""
+        return not self.broken and (self._wanted > 0 or len(self._held) > 0)
 
     def feed(self, data: bytes) -> Iterator[list[bytes] | None]:
         if self.broken:
@@ -36,6 +43,7 @@
             while not self.broken and self._step():
                 if len(self._parts) == self._wanted:
                     parts, self._parts, self._wanted = self._parts, [], 0
+                    self.taken += 1
                     yield parts
         except Unreadable:
             self.drop()
@@ -49,10 +57,10 @@
     def _step(self) -> bool:
         """Reads the next header or string; whether there was one."""
         if self._wanted == 0:
-            count = self._header(b"*", _PARTS_MOST)
-            self._wanted = count or 0
-            if count == 0:
+            count = self._header(b"*", _PARTS)
+            if count not in (None, _PARTS):
                 raise Unreadable
+            self._wanted = count or 0
             return count is not None
         if self._size < 0:
             size = self._header(b"$", _BULK_MOST)
@@ -70,7 +78,10 @@
     def _header(self, sign: bytes, most: int) -> int | None:
         line = self._held.line(_LINE_MOST)
         if line is None:
-            if len(self._held) >= _LINE_MOST:
+            # Noise without an end of line is known by its first bytes: nobody has to wait for the rest.
+            start = self._held.peek(min(len(self._held), _LINE_MOST)) or sign
+            digits = start[1:].removesuffix(b"\r")
+            if len(start) >= _LINE_MOST or start[:1] != sign or digits and not digits.isdigit():
                 raise Unreadable
             return None
         told = number(line[1:].decode("latin-1"), most)
@@ -85,10 +96,24 @@
     return b"".join(told)
 
 
-def fields(text: bytes) -> dict[str, str]:
+def fields(text: bytes) -> dict[str, str] | None:
+    """None where it is no list of fields."""
     if text == b"-" or not text:
         return {}
-    return dict(pair.partition("=")[::2] for pair in text.decode("utf-8", "replace").split(","))
+    try:
+        pairs = [pair.partition("=") for pair in text.decode().split(",")]
+    except UnicodeDecodeError:
+        return None
+    return {name: value for name, _, value in pairs} if all(n and sign for n, sign, _ in pairs) else None
+
+
+def rows(page: bytes) -> bool:
+    """Whether it is whole rows of three columns of text: noise must not pass for what an engine gave."""
+    try:
+        page.decode()
+    except UnicodeDecodeError:
+        return False
+    return _ROWS.fullmatch(page) is not None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,8 +141,11 @@
     size: int = 0
 
     def put(self, index: int, page: bytes) -> bool:
-        """Whether the page is one that was missing, and its size and the result's are within what is told."""
-        if not 0 <= index < self.total or index in self.pages or len(page) > PAGE_MOST:
+        """Whether the page is one of these, its size and the result's within what is told, and it has whole
+        rows. A second copy of one that is there is as good as none."""
+        if index in self.pages:
+            return page == self.pages[index]
+        if not 0 <= index < self.total or len(page) > PAGE_MOST or not rows(page):
             return False
         self.pages[index] = page
         self.size += len(page)
@@ -138,6 +166,19 @@
     def broken(self) -> bool:
         return self._reader.broken
 
+    @property
+    def awaits(self) -> tuple[int, int] | None:
+        """Something that was begun and must go on soon: a message, or pages. Another value where it did."""
+        begun = self._reader.partial or any(pages is not None for pages in self.open.values())
+        return (self._reader.taken, len(self.open)) if begun else None
+
+    def spoil(self, why: str) -> list[tuple[bytes, End]]:
+        """Nothing after this can be told apart, and nothing more is read: all that is open may have run."""
+        self._reader.drop()
+        opened, self.open = self.open, {}
+        stages = {i: Stage.WRITTEN if pages is None else Stage.PAGES_MISSING for i, pages in opened.items()}
+        return [(ident, End(Cause.UNREADABLE, stage, why=why)) for ident, stage in stages.items()]
+
     @property
     def worn(self) -> bool:
         """Full of dispatches that nobody waits for: it had better be replaced."""
@@ -179,19 +220,29 @@
     def feed(self, data: bytes) -> Iterator[tuple[bytes, End | Note]]:
         for parts in self._reader.feed(data):
             if parts is None:
-                # Nothing after this can be told apart: all that is open here may have run.
-                for ident in list(self.open):
-                    yield ident, self._end(ident, Cause.UNREADABLE, why="no array of strings")
-            elif len(parts) == 4:
-                ident = parts[0]
-                if ident in self.open:
-                    told = fields(parts[2])
-                    said = _note(told) if parts[1] == b"NOTE" else self._answered(
-                        ident, parts[1], told, parts[3])
-                    if said is not None:
-                        yield ident, said
-                else:
-                    self._left_open.discard(ident)
+                yield from self.spoil("no array of strings")
+                return
+            ident, word, body = parts[0], parts[1], parts[3]
+            told = fields(parts[2])
+            if told is None:
+                yield from self.spoil("fields that are none")
+                return
+            if ident not in self.open:
+                # Of one given up, a second copy, or of nobody: it belongs to none that is open.
+                self._left_open.discard(ident)
+                continue
+            if word == b"NOTE":
+                note = _note(told)
+                if note is not None:
+                    yield ident, note
+                continue
+            end = self._answered(ident, word, told, body)
+            if isinstance(end, str):
+                # What one answer was spoilt by may have taken others with it: the stream is given up whole.
+                yield from self.spoil(end)
+                return
+            if end is not None:
+                yield ident, end
 
     def lost(self) -> dict[bytes, Stage]:
         """How far all that is open had come when the connection ended."""
@@ -200,35 +251,35 @@
         self._reader.drop()
         return stages
 
-    def _answered(self, ident: bytes, word: bytes, told: dict[str, str], body: bytes) -> End | None:
+    def _answered(self, ident: bytes, word: bytes, told: dict[str, str], body: bytes) -> End | str | None:
+        """The end of the dispatch, if it is one; words for what cannot be an answer to it."""
         pages = self.open[ident]
-        if word == b"OK" and pages is None:
+        if word == b"OK":
             total = number(told.get("total", ""), RESULT_MOST)
             if not total:
-                return self._end(ident, Cause.UNREADABLE, why="no number of pages")
-            pages = self.open[ident] = _Pages(told, total)
-            if not pages.put(0, body):
-                return self._end(ident, Cause.UNREADABLE, why="a page is too long")
-            self.out.extend(command(b"read", ident, b"%d" % page) for page in range(1, pages.total))
+                return "no number of pages"
+            if pages is None:
+                pages = self.open[ident] = _Pages(told, total)
+                self.out.extend(command(b"read", ident, b"%d" % page) for page in range(1, total))
+            if pages.total != total or not pages.put(0, body):
+                return "a page that is none"
         elif word == b"ROWS" and pages is not None:
             index = number(told.get("index", ""), RESULT_MOST)
             if index is None or not pages.put(index, body):
-                return self._end(ident, Cause.UNREADABLE, why="a page that was not missing, or too long")
+                return "a page that is none"
         else:
-            cause = {b"BUSY": Cause.BUSY, b"ERR": Cause.ERR, b"VOID": Cause.VOID}.get(word, Cause.UNREADABLE)
-            return self._end(ident, cause, told, repr((word[:16], told)))
+            cause = {b"BUSY": Cause.BUSY, b"ERR": Cause.ERR, b"VOID": Cause.VOID}.get(word)
+            if cause is None:
+                return repr((word[:16], told))
+            del self.open[ident]
+            if pages is None:
+                return End(cause, Stage.WRITTEN, b"", told)
+            self.out.append(command(b"release", ident))
+            return End(cause, Stage.PAGES_MISSING, b"", told)
         if len(pages.pages) < pages.total:
             return None
         if pages.total > 1:
             self.out.append(command(b"release", ident))
         del self.open[ident]
-        rows = b"".join(pages.pages[page] for page in range(pages.total))
-        return End(Cause.OK, Stage.WHOLE, rows, pages.told)
-
-    def _end(self, ident: bytes, cause: Cause, told: dict[str, str] | None = None, why: str = "") -> End:
-        pages = self.open.pop(ident)
-        if pages is not None:
-            self.out.append(command(b"release", ident))
-        elif cause is Cause.UNREADABLE and not self.broken:
-            self._abandon(ident)  # for all that is known it runs on
-        return End(cause, Stage.WRITTEN if pages is None else Stage.PAGES_MISSING, b"", told or {}, why)
+        whole = b"".join(pages.pages[page] for page in range(pages.total))
+        return End(Cause.OK, Stage.WHOLE, whole, pages.told)
