As many connections to an engine as dispatches on each; only a dead one is left for a time-out

Two causes, told apart by counting the ends of dispatches by cause and stage: each early time-out of the module (4 in 100) closed its connection, and one event of the loop brought one answer. Now a connection is left after a time-out only if nothing at all came on it meanwhile, and there are about as many as dispatches on each. What was begun is awaited for as long as the module has patience with an overdue dispatch (engines.py, line_for and give_up).

--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -28,7 +28,7 @@
     """One dispatch on its way. `done` fires once, with its End; it never fails."""
 
     __slots__ = ("body", "done", "grant", "group", "ident", "line", "noted", "patience", "priority",
-                 "timer", "used")
+                 "sent_at", "timer", "used")
 
     def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, priority: int, body: bytes,
                  used: list[Line]) -> None:
@@ -39,6 +39,7 @@
         self.noted: Callable[[Note], None] = lambda note: None
         self.line: Line | None = None
         self.timer: Any = None
+        self.sent_at = 0.0
 
     def end(self, end: End) -> None:
         if self.timer is not None and self.timer.active():
@@ -103,7 +104,7 @@
         self._leaving: list[tuple[Attempt, End]] = []  # given up, and the word of it not known to have left
         self._awaited: tuple[int, int] | None = None  # what was begun when the patience with it began
         self._patience: Any = None
-        self.used_at = peer.reactor.seconds()
+        self.used_at, self._heard_at = peer.reactor.seconds(), 0.0
         self._protocol: EngineProtocol | None = None
         self.over = self._closing = False
         where = TCP4ClientEndpoint(peer.reactor, peer.host, peer.port, timeout=peer.connect_s)
@@ -129,6 +130,7 @@
             self.waiting.append(attempt)
             return
         attempt.used.append(self)
+        attempt.sent_at = self.used_at
         self.attempts[attempt.ident] = attempt
         self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.priority,
                             attempt.body)
@@ -150,8 +152,8 @@
         stage = self.exchange.give_up(attempt.ident)
         del self.attempts[attempt.ident]
         attempt.line = None
-        # Where an answer never came the next may not either: nothing new goes here.
-        self._closing = self._closing or cause is Cause.TIME_OUT
+        # Where nothing at all came meanwhile, nothing may come any more: nothing new goes here.
+        self._closing = self._closing or cause is Cause.TIME_OUT and self._heard_at <= attempt.sent_at
         self._abandon(attempt, End(cause, stage))
 
     def _abandon(self, attempt: Attempt, end: End) -> None:
@@ -184,6 +186,7 @@
     def received(self, data: bytes) -> None:
         if self.exchange.broken:
             return
+        self._heard_at = self._peer.reactor.seconds()
         for ident, end in self.exchange.feed(data):
             self.used_at = self._peer.reactor.seconds()
             if isinstance(end, Note):
@@ -290,8 +293,9 @@
 class Peer:
     """One engine process at its address, and its connections.
 
-    What befalls a connection befalls all that is open on it. So each dispatch gets one that is idle, or a new
-    one as long as the engine's part of the descriptors lasts; only then do they share, the emptiest first.
+    What befalls a connection befalls all that is open on it, and each costs time to read from: so there are
+    as many as dispatches on each, the emptiest taken first, as long as the engine's part of the descriptors
+    lasts. A connection for every dispatch took twice the CPU, and at 900 batches a second all there was.
     """
 
     def __init__(self, reactor: Any, host: str, port: int, pool: Pool, most: int, may_cancel: bool,
@@ -306,7 +310,7 @@
         self.warned = False  # of what it answered, once in its life
 
     def line_for(self, attempt: Attempt, share: int) -> Line | None:
-        """None: a new one is wanted, as none takes it, or all are busy and fewer than the share."""
+        """None: a new one is wanted, as none takes it, or all hold as many as there are connections."""
         now, best = self.reactor.seconds(), None
         for line in self.lines:
             if line.takes(attempt.ident) and line not in attempt.used and (
@@ -314,7 +318,7 @@
                 if not line.busy:
                     return line
                 best = line if best is None or line.busy < best.busy else best
-        return best if len(self.lines) >= share else None
+        return best if best is None or len(self.lines) >= min(share, best.busy + 1) else None
 
     def call(self) -> Line:
         line = Line(self)
@@ -417,6 +421,9 @@
         for engine in [engine for engine in self._gone if not self._peers[engine].lines]:
             self._drop(engine, at_once=True)
 
+    def knows(self, engine: int) -> bool:
+        return engine in self._peers
+
     def connections(self) -> int:
         return sum(len(peer.lines) for peer in self._peers.values())
 
