--- a/vanerelay/holding.py
+++ b/vanerelay/holding.py
@@ -58,17 +58,29 @@
 
 
 class Names:
-    """Small indices for the names of engines, in the order met; an engine keeps its index for good."""
+    """Small indices for the names of engines, in the order met; none is ever used again for another."""
 
     def __init__(self) -> None:
         self._indices: dict[str, int] = {}
-        self._names: list[str] = []
+        self._names: dict[int, str] = {}
+        self._next = 0
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._indices
+
+    def all(self) -> set[int]:
+        return set(self._names)
 
     def index(self, name: str) -> int:
-        index = self._indices.setdefault(name, len(self._names))
-        if index == len(self._names):
-            self._names.append(name)
+        index = self._indices.setdefault(name, self._next)
+        if index == self._next:
+            self._names[index] = name
+            self._next += 1
         return index
 
     def name(self, index: int) -> str:
         return self._names[index]
+
+    def forget(self, index: int) -> None:
+        """Of an engine that is gone: should it come back, it gets another."""
+        del self._indices[self._names.pop(index)]
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -3,6 +3,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 from typing import Protocol as Interface
 
@@ -17,14 +18,25 @@
 from vanerelay.net import frames
 from vanerelay.net.buffers import Pool
 from vanerelay.net.clock import Clock
+from vanerelay.net.sparing import Sparing
 
 IDLE_S = 4.0  # clients close connections idle for this long; one that takes nothing for as long is given up
+KEPT_S = 2 * IDLE_S  # who keeps one longer without a request has forgotten it
+# A client that sends nothing whole is owed an end within 3 s of connecting; each has its turn at a sweep.
+WHOLE_S, SWEEP_S = 2.0, 0.25
 
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
 log = structlog.get_logger()
 
 
+class Taken(Enum):
+    """What became of a request that is not open now."""
+
+    ANSWERED = "answered"
+    UNUSABLE = "answered, and no engine could use it"
+
+
 class Asked(Interface):
     """A request as this driver sees it: somebody to tell that the client has left."""
 
@@ -34,7 +46,7 @@
 class Served(Interface):
     """What the driver asks of the service."""
 
-    def request(self, client: ClientConnection, frame: frames.Frame, since: int) -> Asked | None: ...
+    def request(self, client: ClientConnection, frame: frames.Frame, since: int) -> Asked | Taken: ...
 
     def ready(self) -> bool: ...
 
@@ -54,6 +66,9 @@
         self._last_frame_sent = self._closing = self._deaf = self._lost = False
         self._stuck: Any = None
         self._paused_since: int | None = None
+        self._unusable = 0
+        self.used_at = clients.reactor.seconds()
+        self.silent, self.ended = True, False  # whether nothing whole has come; whether it is to end now
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -70,6 +85,11 @@
             # A read that took as much as it may has left more behind, that had come as early.
             self._may_be_older(since)
         self._read(data, since)
+        self._owe()
+
+    def _owe(self) -> None:
+        waits = self.silent or self._reader.partial
+        self._clients.owes(self, waits and not self._deaf and self._paused_since is None)
 
     def _may_be_older(self, since: int) -> None:
         self._earlier, self._until_pass = since, self._clients.clock.passes + 1
@@ -82,12 +102,10 @@
     def _read(self, data: bytes, since: int) -> None:
         for frame in () if self._deaf else self._reader.feed(data):
             if isinstance(frame, frames.Malformed):
-                log.warning("client sent what cannot be read", why=frame.why)
-                # The rest of this connection cannot be told apart. What was taken on it is still answered.
-                self._write(frames.answer(frames.ANSWER, 0, frames.ERRORED, {}))
-                self._deaf = True
-                self.end_when_answered()
+                self.refuse(frame.why)
                 return
+            self._clients.owes(self, False)  # what may be owed from now on is another frame
+            self.silent = False
             try:
                 self._frame(frame, since)
             except Exception:
@@ -107,10 +125,34 @@
             self._rest()
         elif len(self.open) >= frames.OPEN_MOST:
             self._write(frames.answer(frames.ANSWER, frame.stream, frames.PUSHED_BACK, {}))
+            self.refuse("more requests open than there may be")
         else:
-            asked = self._clients.service.request(self, frame, since)
-            if asked is not None:
-                self.open[frame.stream] = asked
+            taken = self._clients.service.request(self, frame, since)
+            if not isinstance(taken, Taken):
+                self.open[frame.stream] = taken
+            self._unusable = self._unusable + 1 if taken is Taken.UNUSABLE else 0
+            if self._unusable >= frames.OPEN_MOST:
+                self.refuse("one request after another that nobody can use")
+
+    def refuse(self, why: str) -> None:
+        """Ends the connection of a client that does not keep to the protocol: an error for it and for each
+        batch open, which nothing is done for any more. The rest cannot be told apart, and is not read."""
+        if self._deaf:
+            return
+        self._deaf = True
+        self._clients.refused.warn(why=why)
+        opened, self.open = self.open, {}
+        for stream, asked in opened.items():
+            self._write(frames.answer(frames.ANSWER, stream, frames.ERRORED, {}))
+            self._leave(asked)
+        self._write(frames.answer(frames.ANSWER, 0, frames.ERRORED, {}))
+        self.end()
+
+    def _leave(self, asked: Asked) -> None:
+        try:
+            asked.left()
+        except Exception:
+            log.exception("a client's leaving met a fault")
 
     def _write(self, data: bytes) -> None:
         """Hands bytes over and has them sent now: Twisted alone would wait for the end of its pass, which is
@@ -138,11 +180,16 @@
         self._rest()
 
     def end(self) -> None:
-        self._closing = self._deaf = True
-        if not self._lost:
+        ended, self.ended, self._deaf = self.ended, True, True
+        if not ended and not self._lost:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    def look(self) -> None:
+        """Reads what waits in its socket, before this connection is taken for a silent one."""
+        if not self._deaf and not self._lost and self._paused_since is None:
+            self.transport.doRead()
+
     def _rest(self) -> None:
         if self._closing and not self.open:
             self.end()
@@ -153,6 +200,7 @@
         self.transport.pauseProducing()
         if self._paused_since is None:
             self._paused_since = self._since()
+            self._clients.owes(self, False)  # it may have sent the rest: nobody reads it now
         if self._stuck is None:
             self._stuck = self._clients.reactor.callLater(IDLE_S, self._give_up)
 
@@ -163,6 +211,7 @@
         if self._paused_since is not None:
             self._may_be_older(self._paused_since)
             self._paused_since = None
+            self._owe()
         if not self._lost:
             self.transport.resumeProducing()
 
@@ -183,10 +232,7 @@
         self._clients.parted(self)
         gone, self.open = list(self.open.values()), {}
         for asked in gone:
-            try:
-                asked.left()
-            except Exception:
-                log.exception("a client's leaving met a fault")
+            self._leave(asked)
 
 
 class Listener(Port):
@@ -214,7 +260,11 @@
         self.reactor, self.clock, self.service, self.pool, self._most = reactor, clock, service, pool, most
         self._all: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest unused first
         self._port: Any = None
-        self._full = False
+        # Those that owe something whole, the first to be overdue first.
+        self._owing: OrderedDict[ClientConnection, float] = OrderedDict()
+        self.refused = Sparing(reactor, "client does not keep to the protocol")
+        self._crowded = Sparing(reactor, "clients hold their share of the descriptors")
+        reactor.callLater(SWEEP_S, self._sweep)
 
     def buildProtocol(self, addr: object) -> ClientConnection:
         return ClientConnection(self)
@@ -231,26 +281,57 @@
     def joined(self, connection: ClientConnection) -> bool:
         """Whether there is room: the longest idle connection goes before the share runs out."""
         self._all[connection] = None
+        self.owes(connection, True)
         if len(self._all) <= self._most:
-            self._full = False
             return True
-        if not self._full:
-            self._full = True
-            log.warning("clients hold their share of the descriptors", connections=len(self._all))
+        self._crowded.warn(connections=len(self._all))
+        # One that never sent anything goes before one that has been of use: connections come by the hundred
+        # and stay silent. Its socket is looked at once more, as its first request may wait there.
+        silent = next((other for other in self._owing if other.silent and other is not connection), None)
+        if silent is not None:
+            silent.look()
+            if silent.silent:
+                self._end(silent)
+                return True
         idle = next((other for other in self._all if not other.open and other is not connection), None)
         if idle is None:
             # Turned away, what it has sent already would be lost: only where no descriptor is left.
             return self._spare()
-        del self._all[idle]
-        idle.end()
+        self._end(idle)
         return True
 
+    def _end(self, connection: ClientConnection) -> None:
+        self.parted(connection)
+        connection.end()
+
     def used(self, connection: ClientConnection) -> None:
+        connection.used_at = self.reactor.seconds()
         if connection in self._all:
             self._all.move_to_end(connection)
 
+    def owes(self, connection: ClientConnection, owes: bool) -> None:
+        """Whether it owes the rest of what it has begun, or a beginning; told again, the time runs on."""
+        if not owes:
+            self._owing.pop(connection, None)
+        elif connection not in self._owing and connection in self._all:
+            self._owing[connection] = self.reactor.seconds() + WHOLE_S
+
+    def _sweep(self) -> None:
+        """Ends those that have owed something whole for too long, and those that nobody uses any more."""
+        now = self.reactor.seconds()
+        self.reactor.callLater(SWEEP_S, self._sweep)
+        while self._owing and next(iter(self._owing.values())) <= now:
+            connection, _ = self._owing.popitem(last=False)
+            connection.refuse("nothing whole came")
+        for connection in list(self._all):
+            if now - connection.used_at < KEPT_S:
+                break
+            if not connection.open and not connection.ended:
+                self._end(connection)
+
     def parted(self, connection: ClientConnection) -> None:
         self._all.pop(connection, None)
+        self._owing.pop(connection, None)
 
     def stop_listening(self) -> None:
         if self._port is not None:
--- a/vanerelay/net/frames.py
+++ b/vanerelay/net/frames.py
@@ -60,6 +60,11 @@
             yield Malformed(wrong)
         self._held.keep()
 
+    @property
+    def partial(self) -> bool:
+        """Whether what came last is not whole."""
+        return len(self._held) > 0
+
     def drop(self) -> None:
         self._broken = True
         self._held.drop()
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -24,6 +24,7 @@
 # counts what comes within 0.7 s.
 CONNECTIONS_S, REQUESTS_S = 0.5, 0.7
 LITTLE = 10_000  # objects made since the last collection that make one worth while
+FEW = 300  # batches open at most for one that costs little
 STOOD_STILL_S = 0.05  # as much as the page adds to each time limit on sockets
 CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
 STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
@@ -65,8 +66,9 @@
         pool = Pool()
         descriptors = int(told["limits"].get("sockets") or 1024)
         clients = max(1, descriptors // CLIENT_SHARE)
+        patience_s = Health.QUIET * Health.PATIENCE / UNITS
         engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, allowed.copies,
-                          connect_s, idle_s, max(1, descriptors - clients - OWN), Health.QUIET / UNITS)
+                          connect_s, idle_s, max(1, descriptors - clients - OWN), patience_s)
         peers = None
         if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
@@ -112,12 +114,14 @@
             log.warning("configuration not read again", why=str(fault))
 
     def _sweep(self) -> None:
-        self._engines.sweep()
+        self.service.sweep()
         late = self._reactor.latest()
         if late > STOOD_STILL_S:
             log.warning("stood still", ms=round(late * 1000))
-        # With batches open a collection costs what it is to spare them: over 100 ms under overload.
-        if gc.get_count()[0] > LITTLE and (self.service.open == 0 or self._memory_short()):
+        # With thousands of batches open a collection costs what it is to spare them: over 100 ms under
+        # overload. With few it costs little, and a long day that never stands idle needs it: what a
+        # connection leaves behind are cycles.
+        if gc.get_count()[0] > LITTLE and (self.service.open < FEW or self._memory_short()):
             gc.collect()
         self._reactor.callLater(1.0, self._sweep)
 
