--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -515,6 +515,7 @@
     _, second = served.join()
     served.join()
     served.ask(1)
+    served.advance(0.3)
     _, fourth = served.join()
     assert second.disconnecting and not served.wire.disconnecting and not fourth.disconnecting
 
@@ -556,6 +557,7 @@
     served.client.dataReceived(frames.frame(frames.READY, 0, b"\0"))
     silent, quiet = served.join()
     late, loud = served.join()
+    served.advance(0.3)
     loud.doRead = lambda: late.dataReceived(frames.frame(frames.READY, 0, b"\0"))  # waits in its socket
     served.join()
     assert quiet.disconnecting and not loud.disconnecting and not served.wire.disconnecting
@@ -563,6 +565,19 @@
     assert not loud.disconnecting  # looked at before it was taken for a silent one
 
 
+def test_one_that_has_just_come_is_not_taken_for_a_silent_one():
+    """Seen on sockets, with a share held by those that had asked once: its first request failed."""
+    served = Served()
+    served.client.dataReceived(frames.frame(frames.READY, 0, b"\0"))
+    served.join()[0].dataReceived(frames.frame(frames.READY, 0, b"\0"))
+    fresh, first = served.join()
+    _, second = served.join()
+    assert served.wire.disconnecting and not first.disconnecting and not second.disconnecting
+    served.client = fresh
+    served.ask(1)
+    assert served.service.open == 1
+
+
 def test_engines_that_are_gone_leave_nothing_behind():
     """Ids are new without end, and addresses are used again, on a long day."""
     served = Served()
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -414,6 +414,12 @@
 
 # Time.
 
+@pytest.mark.parametrize(("before", "after", "group"), [("", "1," * 100_000, 1), (" " * BLOCK, "", 0)])
+def test_only_the_beginning_of_a_statement_is_gone_through(before, after, group):
+    """Bad clients can ask for the longest as often as they like, and each took half a second."""
+    assert table_group(f"SELECT *{before} FROM a_1.t WHERE x IN ({after}1)") == group
+
+
 def test_the_clock_never_goes_back():
     told = iter([5.0, 4.0, 5.00012])
     clock = Clock(lambda: next(told))
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -286,14 +286,17 @@
             return True
         self._crowded.warn(connections=len(self._all))
         # One that never sent anything goes before one that has been of use: connections come by the hundred
-        # and stay silent. Its socket is looked at once more, as its first request may wait there.
-        silent = next((other for other in self._owing if other.silent and other is not connection), None)
-        if silent is not None:
+        # and stay silent. Its socket is looked at once more, as its first request may wait there; and one
+        # that has just come may be about to send it: it goes last (seen as first requests failed, rd6423a).
+        new_since = self.reactor.seconds() - SWEEP_S
+        silent = next((other for other in self._owing if other.silent), None)
+        if silent is not None and silent.used_at < new_since:
             silent.look()
             if silent.silent:
                 self._end(silent)
                 return True
-        idle = next((other for other in self._all if not other.open and other is not connection), None)
+        idle = next((other for other in self._all if not other.open and (
+            not other.silent or other.used_at < new_since)), None)
         if idle is None:
             # Turned away, what it has sent already would be lost: only where no descriptor is left.
             return self._spare()
