--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -341,6 +341,7 @@
     idle = [node.client() for _ in range(16)]
     idle[0].ask(1, "a1")
     assert idle[0].answer()[:2] == (1, 0)
+    time.sleep(0.5)  # none has just come
     late = node.client()
     late.ask(1, "a2")
     assert late.answer()[:2] == (1, 0)
