A sign of life that the system will not send is let go; ending beside silent clients is tested

Read in net/peers.py: an error of the system in sending a datagram went up into the module's beat, which gives up overdue batches after it. Seen to fail without in the test. SIGTERM with a silent and a half-sent client open is tested now.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -614,7 +614,14 @@
     peers.tell(peer, b"before it is open")
     peers.transport = type("Datagrams", (), {"write": staticmethod(lambda data, to: out.append((data, to)))})
     peers.tell(peer, b"x" * size)
-    heard = []
+    heard, sending = [], peers.transport.write
+
+    def fails(*_):
+        raise OSError("no buffer space")
+
+    peers.transport.write = fails
+    peers.tell(peer, b"x" * size)  # lost, and nobody meets a fault
+    peers.transport.write = sending
     peers.heard_from = heard.append
     for host, port in (("127.0.0.3", 7), ("127.0.0.3", 8), ("127.0.0.4", 7)):
         peers.datagramReceived(b"\xff" * 2000, (host, port))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -366,11 +366,15 @@
     held = []
     engine = started.engine(lambda e, c, i: held.append((c, i)))
     node = started(member(engine))
-    client = node.client()
+    client, silent_one, half = node.client(), node.client(), node.client()
+    half.send(b"\0\0\0\x40\2")
     client.ask(1, "a1")
     until(lambda: held, "the dispatch")
     node.process.send_signal(signal.SIGTERM)
     assert client.read() == (64, 0, b"")
+    for other in (silent_one, half):  # these keep nobody from ending
+        assert other.read() == (64, 0, b"")
+        assert other.read() in ((4, 0, b"\2\0"), None)
     late = node.client()  # connections may come for a while
     late.ask(1, "b1")
     until(lambda: len(held) == 2, "the late dispatch")
--- a/vanerelay/net/peers.py
+++ b/vanerelay/net/peers.py
@@ -1,6 +1,7 @@
 """Peers: datagrams of at most 256 bytes, where the settings permit them."""
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -28,7 +29,9 @@
 
     def tell(self, peer: int | None, data: bytes) -> None:
         if self.transport is not None and len(data) <= LONGEST:
-            self.transport.write(data, self._everyone if peer is None else self._addresses[peer])
+            # It may be lost anyway: that the system would not take it must not end the module's beat.
+            with contextlib.suppress(OSError):
+                self.transport.write(data, self._everyone if peer is None else self._addresses[peer])
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """That it came says all; of others than the gateways of the tier nothing is taken."""
