--- a/vanerelay/adapter/instance.py
+++ b/vanerelay/adapter/instance.py
@@ -65,7 +65,8 @@
             _ = self._engines.index(e["engine"]), wire.OUTCOMES[e["status"]]
         elif verb == "fromPeer":
             if self._gateway is not None:
-                self._call(self._gateway.heard_from, int(e["neighbour"]))
+                data = base64.b64decode(e.get("data") or "")
+                self._call(self._gateway.heard_from, int(e["neighbour"]), data)
         else:
             raise ValueError(f"unknown event {verb!r}")
 
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -245,11 +245,10 @@
         self._bar = quantile(self._came, self.share) if self.share >= self.LEAST else 0.0
 
 
-class Ration:
-    """Rule 7: dispatches beyond each batch's first, in any window."""
+class Ration:  # rule 7: dispatches beyond each batch's first, in any window
 
     def __init__(self, terms: RationTerms) -> None:
-        self._terms, self.ring = terms, Ring(max(1, terms.span), 2, 50)  # taken, further dispatches
+        self._terms, self.ring = terms, Ring(terms.span or 10 * SECOND, 2, 50)  # taken, further dispatches
 
     def allows(self, now: int) -> bool:
         most = self._terms.free + self._terms.share * self.ring.total(now, 0, short=True)
@@ -377,8 +376,8 @@
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
     KEPT, COVER, TRIERS = 8, 4, 3  # engines kept; gateways that keep each; those that try a sick one a second
-    # Departure: a few gateways tell each other that they live, and share the slice of one unheard.
-    FEW, SIGN, AWAY = 8, 200 * MILLISECOND, SECOND  # so few, so often; silence that takes one for away
+    # Departure: a few gateways tell each other how much comes to them; slices go by that, none for one away.
+    FEW, SIGN, AWAY, SPAN = 8, 200 * MILLISECOND, SECOND, 10 * SECOND  # silent for so long; counted over
 
     def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
                  kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
@@ -390,8 +389,8 @@
         self._picker, self._limits = Picker(random.Random(seed), place.location), list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
         self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
-        self.pool, self._usual, self._rank, self._beat_at = Ledger(0.0, 0), 1.0, 0, transport.now
-        self._slice, self._alive_at = 1.0 / place.gateways, {place.number: NEVER}
+        self.pool, self._usual, self._rank, self._slice = Ledger(0.0, 0), 1.0, 0, 1.0 / place.gateways
+        self._needs, self._beat_at, self._born = {place.number: (NEVER, 0.0)}, transport.now, transport.now
         self._stake = min((g.utility for g in groups if g.effect is Effect.REPEATABLE), default=0.0)
         transport.call_later(BEAT, self._beat)
         if allowed.on_request:
@@ -535,11 +534,12 @@
                 del self._looked_after[engine.entry.engine]
         self.line.serve(self.admit)
         few = self.allowed.peers and 1 < self._place.gateways <= self.FEW
-        if few and now - self._alive_at[self._place.number] >= self.SIGN:
-            self._alive_at[self._place.number] = now
-            away = 0 if stalled else sum(now - at > self.AWAY for at in self._alive_at.values())
-            self._slice = 1.0 / (self._place.gateways - away)
-            self.transport.tell(None, b"!")
+        if few and now - self._needs[self._place.number][0] >= self.SIGN:
+            own = 1.0 + self._ration.ring.total(now, 0) / min(1.0, (now - self._born + SECOND) / self.SPAN)
+            self._needs[self._place.number] = now, own
+            there = [need for at, need in self._needs.values() if stalled or now - at <= self.AWAY]
+            self._slice = own / (sum(there) + own * (self._place.gateways - len(self._needs)))
+            self.transport.tell(None, int(own).to_bytes(4, "big"))
         self._door.look(0 if stalled else self.line.wait(now))
         while self._limits and self._limits[0][0] <= now:
             batch = heapq.heappop(self._limits)[1]
@@ -547,8 +547,8 @@
                 self.give_up(batch)
         self.transport.call_later(BEAT, self._beat)
 
-    def heard_from(self, gateway: int) -> None:
-        self._alive_at[gateway] = self.transport.now
+    def heard_from(self, gateway: int, need: bytes) -> None:
+        self._needs[gateway] = self.transport.now, float(int.from_bytes(need[:4], "big"))
 
     def heard(self, engine: Engine, report: LoadReport | None) -> None:
         engine.heard(self.transport.now, report, max(1.0, self.pool.threads / max(1, self.pool.running)))
--- a/vanerelay/net/peers.py
+++ b/vanerelay/net/peers.py
@@ -22,7 +22,7 @@
         self._listen, self._everyone = _address(listen), _address(everyone)
         self._addresses = [_address(address) for address in addresses]
         self._numbers = {address: number for number, address in enumerate(self._addresses)}
-        self.heard_from: Callable[[int], None] = lambda gateway: None
+        self.heard_from: Callable[[int, bytes], None] = lambda gateway, data: None
 
     def open(self, reactor: Any) -> None:
         reactor.listenUDP(self._listen[1], self, interface=self._listen[0])
@@ -34,7 +34,7 @@
                 self.transport.write(data, self._everyone if peer is None else self._addresses[peer])
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
-        """That it came says all; of others than the gateways of the tier nothing is taken."""
+        """Of others than the gateways of the tier nothing is taken."""
         gateway = self._numbers.get(addr)
         if gateway is not None:
-            self.heard_from(gateway)
+            self.heard_from(gateway, datagram[:LONGEST])
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -85,7 +85,7 @@
     def open_gateway(self, seed: int, profile: dict[str, Any]) -> None:
         self._gateway = gateway = terms.open_gateway(self, seed, profile)
         if self._peers is not None:
-            self._peers.heard_from = lambda number: self._heard_from(gateway, number)
+            self._peers.heard_from = lambda number, data: self._heard_from(gateway, number, data)
 
     # What clients bring.
 
@@ -221,8 +221,8 @@
         if held.batch is not None:
             self._call(held, held.batch.noted, number, note.kind, note.value)
 
-    def _heard_from(self, gateway: Gateway, number: int) -> None:
-        self._call(None, gateway.heard_from, number)
+    def _heard_from(self, gateway: Gateway, number: int, data: bytes) -> None:
+        self._call(None, gateway.heard_from, number, data)
 
     # Bookkeeping.
 
