--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: run by hand, each prints a table. No part of CI."""
--- a/vanerelay/adapter/wire.py
+++ b/vanerelay/adapter/wire.py
@@ -28,7 +28,7 @@
         kind=int(row.get("generationHw", 0)),
         cell=int(row.get("cell", 0)),
         state=STATES[row.get("condition", "U")],
-        weight=float(row.get("weight", 1.0)),
+        weight=1.0,  # the wire's word is the size of the machine, which its kind tells too
         started=up(row.get("bornUs") or 0),
     )
 
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -1,9 +1,11 @@
 """The command line: `serve` runs the workload manager, `check` reads a configuration."""
 from __future__ import annotations
 
+import importlib
 import logging
 import signal
 import sys
+from typing import Any
 
 import click
 import structlog
@@ -39,7 +41,45 @@
     globalLogBeginner.beginLoggingTo([observe], redirectStandardIO=False, discardBuffer=True)
 
 
-@click.group()
+class Lazy(click.Group):
+    """Loads a subsystem's commands when they are called: a start without them imports nothing of theirs."""
+
+    PARTS = {"members": ("vanerelay.membership.commands", "requirements-membership.txt")}
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *self.PARTS])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in self.PARTS:
+            return super().get_command(ctx, cmd_name)
+        module, needs = self.PARTS[cmd_name]
+        command = getattr(_subsystem(module, needs), cmd_name)
+        assert isinstance(command, click.Command)
+        return command
+
+
+def _subsystem(module: str, needs: str) -> Any:
+    """A subsystem that may be left out of an installation."""
+    try:
+        return importlib.import_module(module)
+    except ModuleNotFoundError as fault:
+        click.echo(f"vanerelay: {fault.name} is not installed, expected what {needs} pins", err=True)
+        sys.exit(2)
+
+
+def _membership(options: str | None) -> Any:
+    """What the operators' options say of membership; None without them, or where they say nothing."""
+    if options is None:
+        return None
+    parts = _subsystem("vanerelay.membership.parts", "requirements-membership.txt")
+    try:
+        return parts.read(options)
+    except parts.BadOptions as fault:
+        click.echo(f"vanerelay: options {fault}", err=True)
+        sys.exit(2)
+
+
+@click.group(cls=Lazy)
 def main() -> None:
     """vanerelay, a query gateway: decides what runs, where and with how much memory."""
 
@@ -48,8 +88,9 @@
 @click.option("--config", envvar="LB_CONFIG", required=True, help="The configuration, as JSON [LB_CONFIG].")
 @click.option("--listen", envvar="LB_LISTEN", help="HOST:PORT for clients [LB_LISTEN]; else as configured.")
 @click.option("--name", envvar="LB_NAME", help="The name in the log [LB_NAME]; else as configured.")
+@click.option("--options", help="The operators' own file, as HCL: subsystems that are switched on.")
 @click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
-def serve(config: str, listen: str | None, name: str | None, log_level: str) -> None:
+def serve(config: str, listen: str | None, name: str | None, options: str | None, log_level: str) -> None:
     """Serves clients until SIGTERM, then answers what it has taken and ends. SIGHUP reads the configuration
     again and follows the feed that it names."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends the program; so early nothing was read
@@ -64,10 +105,11 @@
     from vanerelay.net.program import BadStart, Program, read
 
     try:
+        parts = _membership(options)
         told = read(config)
         name = name or str(told.get("name", ""))
         structlog.contextvars.bind_contextvars(gateway=name)
-        program = Program(reactor, clock, told, listen or str(told.get("listen", "")))
+        program = Program(reactor, clock, told, listen or str(told.get("listen", "")), parts)
     except BadStart as fault:
         click.echo(f"vanerelay: {fault}", err=True)
         sys.exit(2)
@@ -80,7 +122,8 @@
 
 @main.command()
 @click.argument("config", envvar="LB_CONFIG")
-def check(config: str) -> None:
+@click.option("--options", help="The operators' own file, read as well.")
+def check(config: str, options: str | None) -> None:
     """Reads a configuration and says what it tells, without listening anywhere."""
     from vanerelay import terms
     from vanerelay.net import feed
@@ -99,6 +142,10 @@
     engines = {member.name for change in changes for member in change.members}
     click.echo(f"service groups: {', '.join(group.name for group in groups)}")
     click.echo(f"engines known: {len(engines)}")
+    parts = _membership(options)
+    if parts is not None:
+        sources = sorted([parts.feed, *(one.standing for one in parts.watched)], key=lambda s: s.precedence)
+        click.echo(f"sources of engines: {', '.join(source.name for source in sources)}")
 
 
 @main.command()
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -84,7 +84,7 @@
 
     WIDTH = 2.8  # threads a core: some of them read or write
 
-    def __init__(self, memory: float, cores: int) -> None:
+    def __init__(self, memory: float, cores: float) -> None:
         self.memory, self.cores = max(1.0, memory), max(1, cores)
         self.granted, self.running, self.threads = 0.0, 0, 0.0
 
@@ -180,6 +180,7 @@
     def __init__(self, entry: EngineEntry, kind: MachineKind, ramp: Ramp) -> None:
         self.entry, self.health, self.listed, self.ramp = entry, Health(), False, ramp
         self.ledger, self.told, self._told_at = Ledger(kind.memory, kind.cores), 1.0, NEVER  # told of others
+        self.pooled = 0.0  # the part of it that counts in the pool, while it is listed
 
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
@@ -195,7 +196,7 @@
 
     def ours(self, now: int, usual: float, part: float) -> float:  # what our grants may fill: our part and up
         lent = self.LEND * (1.0 - part) - self.others(now, usual)
-        return self.level(now) * max(part, lent)
+        return self.level(now) * min(1.0, self.entry.weight) * max(part, lent)
 
 
 class Picker:
@@ -213,7 +214,8 @@
             trial = engine.health.level < Health.LOW
             drawn = 1.0 if trial else math.exp(-self.SHARP * min(held / max(0.05, engine.level(now)), 9.0))
             near = self.NEAR if engine.entry.location == self._here else 1.0
-            weights.append(engine.ledger.cores * drawn * near * self._apart(engine, batch))
+            drawn *= near * self._apart(engine, batch) * engine.entry.weight
+            weights.append(engine.ledger.cores * drawn)
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
@@ -389,6 +391,7 @@
         self._picker, self._limits = Picker(random.Random(seed), place.location), list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
         self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
+        self._off = dict[int, Engine]()  # engines that are not listed, kept while they hold some of ours
         self.pool, self._usual, self._rank, self._slice = Ledger(0.0, 0), 1.0, 0, 1.0 / place.gateways
         self._needs, self._beat_at, self._born = {place.number: (NEVER, 0.0)}, transport.now, transport.now
         self._stake = min((g.utility for g in groups if g.effect is Effect.REPEATABLE), default=0.0)
@@ -405,31 +408,34 @@
                 kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
                 large = max(group.goal * group.threads for group in self._groups) / 8
                 ramp = Ramp(self._cold, entry.name, kind.cores, self._place, large)
-                self._engines[entry.engine] = Engine(entry, kind, ramp)
+                self._engines[entry.engine] = self._off[entry.engine] = Engine(entry, kind, ramp)
             engine = self._engines[entry.engine]
             if entry.started > engine.ramp.began:
                 engine.ramp.restart(entry.started)
                 engine.health.heard(self.transport.now)
             engine.entry = entry
             self._list(engine, entry.state is EngineState.UP)
-        for index in [i for i, e in self._engines.items() if not e.listed and not e.ledger.running]:
-            del self._engines[index]  # engines come and go without end
+        for index in [i for i, e in self._off.items() if not e.ledger.running]:
+            del self._engines[index], self._off[index]  # engines come and go without end
             self._looked_after.pop(index, None)
         self.line.serve(self.admit)
 
     def _list(self, engine: Engine, listed: bool) -> None:
+        more, name = (min(1.0, engine.entry.weight) if listed else 0.0) - engine.pooled, engine.entry.name
+        self.pool.memory += more * engine.ledger.memory
+        self.pool.cores += more * engine.ledger.cores
+        engine.pooled += more
         if engine.listed == listed:
             return
-        engine.listed, name = listed, engine.entry.name
-        place, sign = (scatter(name, self._place.number), name, engine), 1 if listed else -1
+        engine.listed, place = listed, (scatter(name, self._place.number), name, engine)
         if listed:
+            del self._off[engine.entry.engine]
             insort(self._order, place, key=lambda p: p[:2])
             insort(self._picker.names, name)
         else:
-            self._order.remove(place)
-            self._picker.names.remove(name)
-        self.pool.memory += sign * engine.ledger.memory
-        self.pool.cores += sign * engine.ledger.cores
+            self._off[engine.entry.engine] = engine
+            del self._order[bisect_left(self._order, place[:2], key=lambda p: p[:2])]
+            del self._picker.names[bisect_left(self._picker.names, name)]
 
     def list_failed(self) -> None:
         self.transport.call_later(SECOND, self.transport.subscribe)
@@ -437,7 +443,7 @@
     def _kept(self, bounds: Bounds) -> Iterator[Engine]:  # the first of use in our order, and the sick passed
         sound, now = 0, self.transport.now
         for _, _, engine in self._order:
-            if bounds.admits(engine.entry):
+            if bounds.admits(engine.entry) and engine.entry.weight > 0.0:  # departure: 0, nothing new
                 yield engine
                 sound += 1 if engine.health.level >= Health.LOW and engine.ramp.allows(now, 0.0) else 0
             if sound >= max(self.KEPT, self.COVER * len(self._order) / self._place.gateways):
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Annotated, Protocol
 
 MILLISECOND = 10
 SECOND = 10_000
+Span = Annotated[int, "a length of time"]  # so marked where operators write it with a unit
 
 
 class Outcome(Enum):
@@ -151,7 +152,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineEntry:
-    """One line of the list of engines; `started` is 0 when that was long ago."""
+    """One line of the list of engines; `started` is 0 when that was long ago. `weight` is the operators' word
+    on how much of the engine is ours to fill, 1 the whole of it; nothing new goes to one of 0. It is not the
+    feed's `size`, which counts the units of a machine and of which the kind tells enough."""
 
     engine: int
     name: str
--- a/vanerelay/net/feed.py
+++ b/vanerelay/net/feed.py
@@ -137,7 +137,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One line of the list as told."""
+    """One line of the list as told. `size`: units of the machine, of which nothing decides. `weight`: the
+    operators' word, 1 for the whole engine; None from a source that has none, such as the feed."""
 
     name: str
     address: str
@@ -145,12 +146,13 @@
     location: int
     kind: int
     cell: int
-    weight: float
+    size: float
     started: int  # module time; 0 when long ago
+    weight: float | None = None
 
     def entry(self, engine: int) -> EngineEntry:
-        return EngineEntry(engine, self.name, self.location, self.kind, self.cell, self.state, self.weight,
-                           self.started)
+        return EngineEntry(engine, self.name, self.location, self.kind, self.cell, self.state,
+                           1.0 if self.weight is None else self.weight, self.started)
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,7 +184,7 @@
             location=locations.get(row.get("locality"), len(locations)),
             kind=kinds.get(row.get("flavor"), len(kinds)),
             cell=int(row.get("cell") or 0),
-            weight=float(row.get("size") or 1.0),
+            size=float(row.get("size") or 1.0),
             started=int(float(row.get("up_since_ms") or 0) * 10),
         )
         for row in body["members"]
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -4,7 +4,7 @@
 import gc
 import json
 import resource
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from twisted.internet.defer import Deferred
@@ -20,6 +20,10 @@
 from vanerelay.net.roster import Roster
 from vanerelay.net.service import Service
 
+if TYPE_CHECKING:
+    from vanerelay.membership.joined import Membership
+    from vanerelay.membership.parts import Parts
+
 # After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
 # counts what comes within 0.7 s.
 CONNECTIONS_S, REQUESTS_S = 0.5, 0.7
@@ -55,7 +59,9 @@
 class Program:
     """The parts of one workload manager, each made with its own few settings."""
 
-    def __init__(self, reactor: Any, clock: Clock, told: dict[str, Any], listen: str) -> None:
+    def __init__(self, reactor: Any, clock: Clock, told: dict[str, Any], listen: str,
+                 parts: Parts | None = None) -> None:
+        """`parts`: the membership subsystem as the operators' options set it; None where it is off."""
         self._reactor, self._clock = reactor, clock
         host, _, port = listen.rpartition(":")
         profile = told["settings"]
@@ -77,7 +83,15 @@
         self.service.open_gateway(int(str(told.get("seed", "0")), 16), profile)
         names = profile.get("failureDomains") or [], profile.get("kinds") or []
         locations, kinds = ({name: row for row, name in enumerate(listed)} for listed in names)
-        self.roster = Roster(reactor, pool, told["feed"], locations, kinds, connect_s, self.service.listed)
+        self._membership: Membership | None = None
+        changed, answered = self.service.listed, None
+        if parts is not None:
+            from vanerelay.membership.joined import Membership
+
+            members = Membership(reactor, clock, parts, locations, kinds, self.service.listed)
+            self._membership = members
+            changed, answered = members.fed, members.feed_answers
+        self.roster = Roster(reactor, pool, told["feed"], locations, kinds, connect_s, changed, answered)
         self.clients = Clients(
             reactor, clock, self.service, pool, clients,
             lambda: self.clients.number + engines.connections() + OWN < descriptors)
@@ -86,6 +100,9 @@
         wrong = self.roster.apply(told["known"])
         if wrong is not None:
             raise BadStart(f"the list known at the start: {wrong}")
+        wrong = self._membership.start() if self._membership is not None else None
+        if wrong is not None:
+            raise BadStart(f"the console: {wrong}")
         try:
             self.clients.listen(host, int(port))
             if peers is not None:
@@ -152,5 +169,7 @@
             self._reactor.callLater(0.01, self._await_answers)
             return
         self.roster.stop()
+        if self._membership is not None:
+            self._membership.stop()
         self._engines.close()
         self._drained.callback(None)
--- a/vanerelay/net/roster.py
+++ b/vanerelay/net/roster.py
@@ -66,8 +66,11 @@
     """Follows the feed, and hands on each change once."""
 
     def __init__(self, reactor: Any, pool: Pool, address: str, locations: Mapping[str, int],
-                 kinds: Mapping[str, int], connect_s: float, changed: Callable[[feed.Change], None]) -> None:
+                 kinds: Mapping[str, int], connect_s: float, changed: Callable[[feed.Change], None],
+                 answered: Callable[[], None] | None = None) -> None:
+        """`answered`: called for each answer of the feed that could be used, with news or without."""
         self._reactor, self._pool, self._connect_s, self._changed = reactor, pool, connect_s, changed
+        self._answered = answered
         self._host, self._port = feed.split(address)
         self._locations, self._kinds = locations, kinds
         self._going: Deferred[None] | None = None
@@ -157,4 +160,9 @@
             return reply.why
         if not reply.keep:
             connection.give_up()
-        return self.apply(reply.body) if reply.status == 200 else f"status {reply.status}"
+        if reply.status != 200:
+            return f"status {reply.status}"
+        wrong = self.apply(reply.body)
+        if wrong is None and self._answered is not None:
+            self._answered()
+        return wrong
