--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,38 @@
+# The operators' own file: `vanerelay serve --options FILE`. What is not written here is off, or has its default.
+# Times are written with a unit: "150ms", "30s", "5m", "1h". `vanerelay check CONFIG --options FILE` reads it.
+
+membership {
+  # The control feed. The source with the lowest precedence is asked first; 20 where nothing is written.
+  feed {
+    stale_after = "60s" # without an answer for so long it comes after all other sources
+  }
+
+  # Watched list files (JSON); any number of such blocks. Precedence 10 where nothing is written.
+  files "main" {
+    paths    = ["/etc/vanerelay/engines.json"] # or patterns, such as "/etc/vanerelay/engines/*.json"
+    complete = false                           # true: engines that it does not list are not there
+
+    checks {
+      most_lost     = 0.3   # a list that loses a larger part of its engines at once is held
+      confirm_after = "60s" # ... until a second revision, `members confirm`, or this time
+    }
+  }
+
+  # An engine that came back more often than this is held off for a while.
+  flapping {
+    returns = 3
+    span    = "60s"
+    hold    = "30s"
+  }
+
+  # Accepted lists, for the next start and for `members history` and `members pin`.
+  store {
+    folder = "/var/lib/vanerelay"
+    keep   = 50
+  }
+
+  # Where `vanerelay members` asks; for the own user alone.
+  console {
+    socket = "/run/vanerelay/console"
+  }
+}
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -2,9 +2,10 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import pytest
-from helpers import World, entry
+from helpers import COLD, World, entry
 
 from vanerelay.decide import Door, Ledger, Peaks, Ramp, Ration
 from vanerelay.interface import (
@@ -464,3 +465,57 @@
     world = World(allowed={"priorities": heeded})
     world.take(cost=cost)
     assert world.did("grant")[0][2] == priority
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.5, 1.0, 4.0])
+def test_weights_in_the_draw_and_in_what_is_filled(weight):
+    world = World(2)
+    world.gateway.listed([entry(0, weight=weight), entry(1)], True)
+    for _ in range(400):
+        world.end(world.take(), Outcome.RETURNED)
+        world.now += 100
+    to = [engine for _, engine, _ in world.did("dispatch")]
+    low, high = {0.0: (0, 0), 0.5: (90, 180), 1.0: (150, 250), 4.0: (280, 360)}[weight]
+    assert low <= to.count(0) <= high and len(to) == 400
+    # Full of batches that stay, no more of it is taken than the part that is ours.
+    full = World(2)
+    full.gateway.listed([entry(0, weight=weight), entry(1, weight=0.0)], True)
+    for _ in range(60):
+        full.take(memory=2000.0)
+    held = full.gateway._engines[0].ledger.granted
+    assert held <= max(32000.0 * min(1.0, weight), 3000.0) and (weight == 0.0) == (held == 0.0)
+    assert full.gateway._engines[1].ledger.granted == 0.0
+
+
+def test_a_weight_of_0_is_no_drain_and_its_end_sends_no_burst_to_a_cold_engine():
+    world = World(1)
+    batch = world.take()
+    world.gateway.listed([entry(0, weight=0.0)], False)
+    waiting = [world.take() for _ in range(5)]
+    assert [b.held for b in waiting] == [True] * 5 and not world.did("push_back") and not world.did("error")
+    world.end(batch, Outcome.RETURNED)  # what it runs goes on to its end
+    assert not any(b.sends for b in waiting)
+    world.gateway.listed([entry(0, weight=10.0, started=world.now)], False)
+    for _ in range(400):
+        world.take(cost=20_000)
+    ramp, now = world.gateway._engines[0].ramp, world.now
+    spent = ramp.sent.total(now, 0)
+    assert 0.0 < spent <= COLD.multiple * 16 * COLD.window * COLD.share
+
+
+def test_the_index_by_bounds_follows_the_list():
+    world = World(0, locations=(1,))
+    other = random.Random(3)
+    there = {}
+    for step in range(300):
+        name = other.randrange(40)
+        state = other.choice([EngineState.UP, EngineState.UP, EngineState.DRAINING, EngineState.GONE])
+        there[name] = entry(name, state=state, location=other.randrange(3), cell=other.randrange(2),
+                            weight=other.choice([0.0, 0.5, 1.0, 2.0]))
+        world.gateway.listed([there[name]], False)
+        for bounds in (Bounds(None, None, None), Bounds((1,), None, None), Bounds((0, 2), None, 1)):
+            kept = {e.entry.engine for e in world.gateway._kept(bounds)}
+            up = {n for n, e in there.items() if e.state is EngineState.UP and e.weight and bounds.admits(e)}
+            assert kept <= up and (len(kept) == len(up) or len(kept) >= 8), step
+        memory = sum(32000.0 * min(1.0, e.weight) for e in there.values() if e.state is EngineState.UP)
+        assert abs(world.gateway.pool.memory - 1.0 - memory) < 1e-3
--- a/tests/test_members_sockets.py
+++ b/tests/test_members_sockets.py
@@ -1,4 +1,5 @@
 """Watched list files, seen from outside: the program started, files written by every kind of writer."""
+
 from __future__ import annotations
 
 import json
@@ -27,7 +28,8 @@
         other = "\n".join(f"{name} {{\n{body}\n}}" for name, body in blocks.items())
         self.options = (
             f'membership {{\nfiles "main" {{\npaths = ["{files or self.path}"]\nchecks {{\n{checks}\n}}\n}}\n'
-            f'console {{\nsocket = "{self.console}"\n}}\n{other}\n}}\n')
+            f'console {{\nsocket = "{self.console}"\n}}\n{other}\n}}\n'
+        )
         self.fed, self.feed = fed, Feed()
 
     def engine(self):
@@ -39,8 +41,10 @@
         return self.node
 
     def text(self, *rows, revision=None):
-        self.revision = self.revision + 1 if revision is None else revision
-        return json.dumps({"revision": self.revision, "members": list(rows)})
+        self.revision += 1
+        return json.dumps(
+            {"revision": self.revision if revision is None else revision, "members": list(rows)}
+        )
 
     def put(self, *rows, revision=None, path=None):
         """A list, by renaming a whole file over the old one."""
@@ -51,8 +55,13 @@
 
     def ask(self, *words, code=0):
         told = subprocess.run(
-            [sys.executable, "-m", "vanerelay", "members", *words], cwd=ROOT, capture_output=True, text=True,
-            env={**os.environ, "VANERELAY_CONSOLE": str(self.console)}, check=False)
+            [sys.executable, "-m", "vanerelay", "members", *words],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            env={**os.environ, "VANERELAY_CONSOLE": str(self.console)},
+            check=False,
+        )
         assert told.returncode == code, told.stderr + told.stdout
         return told.stdout if code == 0 else told.stderr
 
@@ -113,3 +122,274 @@
     until(lambda: s.engines()["e-2"]["weight"] == 100, "the weight in force")
     assert work(client, range(11, 61)) == [0] * 50
     assert two.served()
+
+
+def in_place(site, rows):
+    """Truncates and writes in two pieces, with a pause in between."""
+    told = site.text(*rows)
+    with site.path.open("w") as file:
+        file.write(told[: len(told) // 2])
+        file.flush()
+        time.sleep(0.3)
+        file.write(told[len(told) // 2 :])
+
+
+def over(site, rows):
+    """Writes over the old bytes, both of one length, so that every state of the file parses."""
+    old = site.path.read_text()
+    told = site.text(*rows)
+    size = max(len(old), len(told))
+    site.path.write_text(old.ljust(size))
+    time.sleep(0.4)
+    with site.path.open("r+") as file:
+        for at in range(0, size, 40):
+            file.write(told.ljust(size)[at : at + 40])
+            file.flush()
+            time.sleep(0.02)
+
+
+def renamed(site, rows):
+    site.put(*rows)
+
+
+def recreated(site, rows):
+    site.path.unlink()
+    time.sleep(0.2)
+    site.path.write_text(site.text(*rows))
+
+
+def folder_anew(site, rows):
+    shutil.rmtree(site.lists)
+    time.sleep(0.7)
+    site.lists.mkdir()
+    site.path.write_text(site.text(*rows))
+
+
+def folder_moved(site, rows):
+    site.lists.rename(site.folder / "away")
+    site.lists.mkdir()
+    site.put(*rows)
+
+
+def link_swapped(site, rows):
+    """As container platforms replace mounted files: a link to a folder changes in one step."""
+    for name in ("v1", "v2"):
+        (site.lists / name).mkdir(exist_ok=True)
+    if not (site.lists / "data").is_symlink():
+        shutil.copy(site.path, site.lists / "v1" / "engines.json")
+        (site.lists / "data").symlink_to("v1")
+        site.path.unlink()
+        site.path.symlink_to("data/engines.json")
+        time.sleep(0.5)
+    (site.lists / "v2" / "engines.json").write_text(site.text(*rows))
+    (site.lists / "next").symlink_to("v2")
+    (site.lists / "next").rename(site.lists / "data")
+
+
+@pytest.mark.parametrize(
+    "write", [renamed, in_place, over, recreated, folder_anew, folder_moved, link_swapped]
+)
+def test_every_kind_of_writer_and_no_new_work_for_a_removed_engine(site, write):
+    s = site()
+    one, two = s.engine(), s.engine()
+    s.put(member(one, "e-1"), member(two, "e-2"))
+    client = s.start().client()
+    until(lambda: set(s.engines()) == {"e-1", "e-2"}, "both engines")
+    write(s, [member(two, "e-2")])
+    end, number = time.monotonic() + BOUND, 1
+    while time.monotonic() < end:
+        assert work(client, [number]) == [0]
+        number += 1
+    served = len(one.served())
+    assert work(client, range(number, number + 50)) == [0] * 50
+    assert len(one.served()) == served and set(s.engines()) == {"e-2"} and not s.trouble()
+
+
+def test_bad_files_leave_the_old_list_in_force_and_are_reported(site):
+    s = site(checks="most_lost = 0.3")
+    engines = [s.engine() for _ in range(4)]
+    rows = [member(one, f"e-{n}") for n, one in enumerate(engines)]
+    s.put(*rows)
+    client = s.start().client()
+    until(lambda: len(s.engines()) == 4, "the engines")
+    whole = s.text(*rows)
+    stream = 0
+    for bad, says in (
+        (whole[:-20], "line 1"),
+        ("", "line 1"),
+        (s.text(), "empty"),
+        (s.text(*rows, rows[0]), "second"),
+        (s.text(*rows, revision=0), "revision 0"),
+        (s.text(*rows[:2]), "2 of 4"),
+    ):
+        s.path.write_text(bad)
+        until(lambda says=says: says in str(s.trouble()), says)
+        stream += 1
+        assert len(s.engines()) == 4 and work(client, [stream]) == [0]
+    assert "2 of 4" in s.ask("show") and "held" in s.ask("show")
+    assert "in force" in s.ask("confirm") and len(s.engines()) == 2 and not s.trouble()
+    assert "nothing is held" in s.ask("confirm", code=2)
+    warned = [line for line in s.node.log.read_text().splitlines() if "list file not taken" in line]
+    assert 1 <= len(warned) <= 6
+
+
+def test_an_engine_removed_with_batches_out_answers_them_and_gets_nothing_new(site):
+    s = site()
+    held = []
+    slow, two = Engine(lambda e, connection, ident: held.append((connection, ident))), s.engine()
+    s.made.append(slow)
+    s.put(member(slow, "e-1"))
+    client = s.start().client()
+    until(lambda: s.engines(), "the engine")
+    for number in range(1, 6):
+        client.ask(number, f"s{number}")
+    until(lambda: len(held) == 5, "five batches out")
+    s.put(member(two, "e-2"))
+    until(lambda: set(s.engines()) == {"e-2"}, "the other list")
+    assert work(s.node.client(), range(1, 31)) == [0] * 30 and len(held) == 5
+    # The same id at the same address comes back within a second, and what it runs is still answered.
+    s.put(member(slow, "e-1"))
+    for connection, ident in list(held):
+        slow.returns(connection, ident)
+    assert sorted(client.answer()[:2] for _ in range(5)) == [(n, 0) for n in range(1, 6)]
+    until(lambda: set(s.engines()) == {"e-1"}, "the engine again")
+    client.ask(9, "again")
+    until(lambda: len(held) == 6, "new work once more")
+    slow.returns(*held[5])
+    assert client.answer()[:2] == (9, 0)
+
+
+def test_a_new_id_at_the_old_address_and_feed_against_file(site):
+    s = site()
+    one, two = s.engine(), s.engine()
+    s.fed = (member(one, "e-1"), member(two, "e-2"))
+    s.put(member(one, "e-1"))
+    client = s.start().client()
+    until(lambda: set(s.engines()) == {"e-1", "e-2"}, "both")
+    s.put(member(one, "e-9"))
+    # the feed's e-1 was taken off by the file
+    until(lambda: set(s.engines()) == {"e-9", "e-2"}, "the new id")
+    assert "taken off" in s.ask("show", "e-1")
+    s.feed.tell(member(two, "e-2", "DRAINING"))
+    until(lambda: s.engines()["e-2"]["phase"] == "DRAINING", "the feed's drain")
+    s.put(member(one, "e-9"), member(two, "e-2"))
+    until(lambda: '"changed": 1' in s.node.log.read_text(), "the file that says otherwise")
+    before = len(two.served())
+    assert work(client, range(1, 31)) == [0] * 30 and len(two.served()) == before
+    s.feed.tell(member(two, "e-2"))
+    until(lambda: s.engines()["e-2"]["phase"] == "SERVING", "the end of the drain")
+
+
+def test_what_was_last_good_and_what_is_pinned_outlive_a_crash(site):
+    s = site(store=f'folder = "{site.__name__}"')
+    s.options = s.options.replace(site.__name__, str(s.folder / "kept"))
+    one, two = s.engine(), s.engine()
+    s.put(member(one, "e-1"), member(two, "e-2"))
+    s.start()
+    until(lambda: len(s.engines()) == 2 and "1" in s.ask("history"), "a list that is kept")
+    s.path.write_text("{")
+    until(s.trouble, "the broken file")
+
+    def again():
+        s.node.process.kill()
+        s.node.process.wait()
+        s.node.start()
+        until(s.node._ready, "readiness")
+
+    again()
+    assert len(s.engines()) == 2 and work(s.node.client(), range(1, 9)) == [0] * 8
+    s.put(member(one, "e-1"))
+    until(lambda: len(s.engines()) == 1, "the next list")
+    until(lambda: "\nmain" in s.ask("history").split("2", 1)[1], "two lists kept")
+    assert "pinned at revision 1" in s.ask("pin", "1") and len(s.engines()) == 2
+    again()
+    assert len(s.engines()) == 2 and "pinned: main at revision 1" in s.ask("show")
+    s.ask("unpin")
+    assert len(s.engines()) == 1 and "not kept" in s.ask("pin", "77", code=2)
+    listed = json.loads(s.ask("list"))
+    assert listed["revision"] == 2 and [row["id"] for row in listed["members"]] == ["e-1"]
+    assert oct(s.console.stat().st_mode & 0o777) == "0o600"
+
+
+def test_lists_of_a_pattern_are_one_list(site, tmp_path):
+    s = site(files=f"{tmp_path}/lists/*.json")
+    one, two = s.engine(), s.engine()
+    s.put(member(one, "e-1"), path=s.lists / "a.json")
+    s.put(member(two, "e-2"), path=s.lists / "b.json")
+    s.start()
+    until(lambda: set(s.engines()) == {"e-1", "e-2"}, "both files")
+    s.put(member(one, "e-1"), member(two, "e-2"), path=s.lists / "a.json")
+    until(lambda: "b.json" in str(s.trouble()), "the engine in two files is reported")
+    assert len(s.engines()) == 2
+
+
+def test_events_that_are_lost_are_made_up_for_by_looking(site, monkeypatch):
+    """With no watch to be had at all (the limit on instances reached), the bound still holds."""
+    s = site()
+    one, two = s.engine(), s.engine()
+    s.put(member(one, "e-1"), member(two, "e-2"))
+    hook = tmp = s.folder / "hook"
+    tmp.mkdir()
+    (hook / "sitecustomize.py").write_text(
+        "import twisted.internet.inotify as i\n"
+        "class No(i.INotify):\n"
+        "    def __init__(self, reactor=None):\n"
+        "        raise i.INotifyError('too many')\n"
+        "i.INotify = No\n"
+    )
+    monkeypatch.setenv("PYTHONPATH", str(hook))
+    client = s.start().client()
+    until(lambda: len(s.engines()) == 2, "both engines")
+    told = s.put(member(two, "e-2"))
+    until(lambda: set(s.engines()) == {"e-2"}, "the list without events")
+    assert time.monotonic() - told < BOUND + 1 and work(client, range(1, 31)) == [0] * 30
+    assert s.node.log.read_text().count("files are polled") == 1
+
+
+@pytest.mark.parametrize(
+    ("options", "says"),
+    [
+        ("membership {\n", "line"),
+        ("membership {\nfeed {\nstale_after = 3\n}\n}\n", "line 3: stale_after"),
+        ('membership {\nconsole {\nsocket = "/proc/none/x"\n}\n}\n', "the console: /proc/none/x"),
+    ],
+)
+def test_options_that_cannot_be_used_stop_the_start_with_one_line(tmp_path, options, says):
+    feed = Feed()
+    with pytest.raises(AssertionError, match=says):
+        Node(tmp_path, feed, member(1), options=options)
+    feed.server.shutdown()
+    feed.server.server_close()
+
+
+def test_the_command_line_checks_and_compares_files(tmp_path):
+    one, two, bad = (tmp_path / name for name in ("one.json", "two.json", "bad.json"))
+    one.write_text(json.dumps({"revision": 1, "members": [member(1, "a"), member(2, "b")]}))
+    two.write_text(json.dumps({"revision": 2, "members": [member(1, "a", "DRAINING"), member(3, "c")]}))
+    bad.write_text(one.read_text()[:-4])
+
+    def members(*words):
+        told = subprocess.run(
+            [sys.executable, "-m", "vanerelay", "members", *map(str, words)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        return told.returncode, told.stdout, told.stderr
+
+    assert members("check", one, two) == (
+        0,
+        f"{one}: revision 1, 2 engines\n{two}: revision 2, 2 engines\n",
+        "",
+    )
+    code, out, err = members("check", "--json", one, bad)
+    assert code == 2 and err.startswith(f"vanerelay: {bad}: line 1") and err.count("\n") == 1
+    assert [json.loads(line)["ok"] for line in out.splitlines()] == [True, False]
+    assert members("diff", one, two) == (
+        1,
+        "~ a: state up to draining\n- b: 127.0.0.1:2\n+ c: 127.0.0.1:3\n",
+        "",
+    )
+    assert members("diff", one, one)[0] == 0 and members("diff", one, bad)[0] == 2
+    assert members("show", "--socket", tmp_path / "none")[0] == 2
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -113,11 +113,16 @@
         self.began, self.sent = -cold.warm_after - cold.window, Ring(max(1, cold.window), 1)
         whole = cold.multiple * max(1, cores) * self.BUSY * cold.window * self.CAUTION
         self._sharers = max(1, min(place.gateways, int(whole * cold.share / max(1.0, batch))))
-        self._budget, self._mine = whole / self._sharers, True
+        self._budget = whole / self._sharers
+        self._mine: bool | None = True  # None: to be looked up once it counts, which takes a fleet's size
 
     def restart(self, began: int) -> None:
-        self.began, place = began, self._place
-        self._mine = rank_among(self._name, place.number, place.gateways) < self._sharers
+        self.began, self._mine = began, None
+
+    def _is_mine(self) -> bool:
+        if self._mine is None:
+            self._mine = rank_among(self._name, self._place.number, self._place.gateways) < self._sharers
+        return self._mine
 
     def share(self, now: int) -> float:
         age = max(0.0, (now - self.began) / max(1, self._cold.warm_after))
@@ -125,7 +130,7 @@
 
     def allows(self, now: int, work: float) -> bool:
         warm = now - self.began >= self._cold.warm_after + self._cold.window
-        return warm or self._mine and self.sent.total(now, 0) + work <= self._budget * self.share(
+        return warm or self._is_mine() and self.sent.total(now, 0) + work <= self._budget * self.share(
             max(self.began, now - self._cold.window))
 
 
@@ -377,6 +382,7 @@
 class Gateway:
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
+    WITHIN = 64  # bounds whose engines are kept in order apart
     KEPT, COVER, TRIERS = 8, 4, 3  # engines kept; gateways that keep each; those that try a sick one a second
     # Departure: a few gateways tell each other how much comes to them; slices go by that, none for one away.
     FEW, SIGN, AWAY, SPAN = 8, 200 * MILLISECOND, SECOND, 10 * SECOND  # silent for so long; counted over
@@ -390,6 +396,7 @@
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
         self._picker, self._limits = Picker(random.Random(seed), place.location), list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
+        self._within = dict[Bounds, list[tuple[int, str, Engine]]]()  # the same, by the bounds asked for
         self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
         self._off = dict[int, Engine]()  # engines that are not listed, kept while they hold some of ours
         self.pool, self._usual, self._rank, self._slice = Ledger(0.0, 0), 1.0, 0, 1.0 / place.gateways
@@ -413,6 +420,8 @@
             if entry.started > engine.ramp.began:
                 engine.ramp.restart(entry.started)
                 engine.health.heard(self.transport.now)
+            if not Bounds((entry.location,), (entry.kind,), entry.cell).admits(engine.entry):
+                self._list(engine, False)  # elsewhere now: in other lines of the index
             engine.entry = entry
             self._list(engine, entry.state is EngineState.UP)
         for index in [i for i, e in self._off.items() if not e.ledger.running]:
@@ -430,24 +439,33 @@
         engine.listed, place = listed, (scatter(name, self._place.number), name, engine)
         if listed:
             del self._off[engine.entry.engine]
-            insort(self._order, place, key=lambda p: p[:2])
             insort(self._picker.names, name)
         else:
             self._off[engine.entry.engine] = engine
-            del self._order[bisect_left(self._order, place[:2], key=lambda p: p[:2])]
             del self._picker.names[bisect_left(self._picker.names, name)]
+        within = (places for bounds, places in self._within.items() if bounds.admits(engine.entry))
+        for places in (self._order, *within):
+            if listed:
+                insort(places, place, key=lambda p: p[:2])
+            else:
+                del places[bisect_left(places, place[:2], key=lambda p: p[:2])]
 
     def list_failed(self) -> None:
         self.transport.call_later(SECOND, self.transport.subscribe)
 
     def _kept(self, bounds: Bounds) -> Iterator[Engine]:  # the first of use in our order, and the sick passed
         sound, now = 0, self.transport.now
-        for _, _, engine in self._order:
-            if bounds.admits(engine.entry) and engine.entry.weight > 0.0:  # departure: 0, nothing new
+        most = max(self.KEPT, self.COVER * len(self._order) / self._place.gateways)
+        if bounds not in self._within:
+            if len(self._within) >= self.WITHIN:
+                self._within.clear()
+            self._within[bounds] = [place for place in self._order if bounds.admits(place[2].entry)]
+        for _, _, engine in self._within[bounds]:
+            if engine.entry.weight > 0.0:  # departure: at a weight of 0 nothing new
                 yield engine
                 sound += 1 if engine.health.level >= Health.LOW and engine.ramp.allows(now, 0.0) else 0
-            if sound >= max(self.KEPT, self.COVER * len(self._order) / self._place.gateways):
-                return
+                if sound >= most:
+                    return
 
     def take(self, arrival: Arrival) -> Batch:
         now, group, self._rank = self.transport.now, self._groups[arrival.group], self._rank + 1
--- a/vanerelay/membership/joined.py
+++ b/vanerelay/membership/joined.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import sys
 import time
 from collections.abc import Callable, Generator, Iterator, Mapping
 from typing import Any
@@ -20,6 +21,7 @@
 from vanerelay.membership.lists import Delta, Kind
 from vanerelay.membership.parts import Parts
 from vanerelay.membership.records import EngineList, Unusable
+from vanerelay.membership.settle import TURNS_S
 from vanerelay.membership.store import Loaded, Store, open_store
 from vanerelay.membership.view import Shown, View
 from vanerelay.net.clock import UNITS, Clock
@@ -39,8 +41,11 @@
         locations: Mapping[str, int],
         kinds: Mapping[str, int],
         listed: Callable[[Change], None],
+        large: Callable[[], None],
     ) -> None:
+        """`large`: called once a change that took more than one portion is in force."""
         self._reactor, self._clock, self._parts, self._listed = reactor, clock, parts, listed
+        self._large, self._in_a_row = large, 0  # portions since the view stood still
         self._locations, self._kinds = locations, kinds
         self._names = list(locations), list(kinds)
         standings = [parts.feed, *(one.standing for one in parts.watched)]
@@ -108,11 +113,17 @@
                 wrong = listening
             else:
                 self._desk = listening
+        sys.setswitchinterval(TURNS_S)
         for files in self.files.values():
             files.start()
         self._go()
         return wrong
 
+    @property
+    def busy(self) -> bool:
+        """Whether a change is on its way into force."""
+        return self._going
+
     def stop(self) -> None:
         for files in self.files.values():
             files.stop()
@@ -177,6 +188,11 @@
         self.view.look(now)
         portion = self.view.step(now)
         self._going = self.view.pending() and self.view.open(now)
+        self._in_a_row += 1 if portion else 0
+        if not self._going:
+            if self._in_a_row > 1:
+                self._large()
+            self._in_a_row = 0
         if portion or self.view.open(now) and not self._portions:
             self._portions += 1
             self._listed(Change(self._portions, False, [shown.member for shown in portion]))
--- a/vanerelay/membership/lists.py
+++ b/vanerelay/membership/lists.py
@@ -181,9 +181,8 @@
             wanted = dict(self.files)
             for one in paths:
                 waiting = self._waiting[one]
-                if waiting is None:
-                    wanted.pop(one, None)
-                else:
+                wanted.pop(one, None)
+                if waiting is not None:
                     wanted[one] = waiting
             wrong = self._clash(wanted)
             if wrong is None:
--- a/vanerelay/membership/records.py
+++ b/vanerelay/membership/records.py
@@ -15,12 +15,15 @@
 import msgspec
 
 from vanerelay.interface import EngineState
-from vanerelay.net.feed import STATES, Member, split
+from vanerelay.net.feed import STATES, Member
 
 WHOLE = 100.0  # the weight of an engine that may be filled as a whole
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Figure = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
 PHASES = {state: phase for phase, state in STATES.items()}
+PART = "(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+# as net/feed.py takes them, in a tenth of its time
+ADDRESS = re.compile(rf"(?:{PART}\.){{3}}{PART}:[0-9]{{1,5}}")
 BYTE = re.compile(r"\(byte (\d+)\)")
 
 
@@ -139,9 +142,7 @@
 
 
 def _check(row: Row, locations: Mapping[str, int], kinds: Mapping[str, int]) -> str | None:
-    try:
-        split(row.host_port)
-    except ValueError:
+    if ADDRESS.fullmatch(row.host_port) is None or not 0 < int(row.host_port.rpartition(":")[2]) < 65_536:
         return f"host_port: {row.host_port!r}, expected an IPv4 literal and a port, such as 10.1.0.9:6565"
     for field, name, known in (("locality", row.locality, locations), ("flavor", row.flavor, kinds)):
         if known and name not in known:
@@ -166,7 +167,7 @@
             except msgspec.ValidationError as closer:
                 what, _, path = str(closer).partition(" - at `$")
                 return f"line {_line(data, place)}: $.members[{place}]{path.rstrip('`')}: {what}"
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         pass
     what, _, path = fault.partition(" - at `")
     return f"{path.rstrip('`') or '$'}: {what}"
--- a/vanerelay/membership/view.py
+++ b/vanerelay/membership/view.py
@@ -17,13 +17,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
+from itertools import chain, islice
 
 from vanerelay.interface import SECOND, EngineState, Span
 from vanerelay.net.feed import Member
 
-PORTION = 250  # engines handed on at a time: a few milliseconds of one pass of the loop
+PORTION = 150  # engines handed on at a time: a few milliseconds of one pass of the loop
 NOTED = 4  # times as many pieces of news noted at a time, which cost less
 KEPT, MOST_KEPT = 3600 * SECOND, 20_000  # how long, and how many, words of removal a source is held to
 FILES, FEED = 10, 20  # precedence of sources where the operators state none
@@ -102,7 +103,7 @@
         self._flapping, self._born, self._open = flapping, now, False
         self.shown: dict[str, Shown] = {}
         # told, not yet noted: names, as they were before
-        self._news = deque[tuple[Source, str, Member | None]]()
+        self._news = deque[tuple[Source, Mapping[str, Member], Iterator[str]]]()
         self._at: dict[str, dict[str, None]] = {}  # addresses, and the names that any source lists there
         self._strict: OrderedDict[str, None] = OrderedDict()  # to be merged anew: may be a removal
         self._other: OrderedDict[str, None] = OrderedDict()
@@ -123,12 +124,11 @@
         changed: Iterable[str],
         withdrawn: Iterable[str],
     ) -> None:
-        """A source's list as it is now, and the names in which it differs from its last. The mapping must not
+        """A source's list as it is now, and the names in which it differs from its last. None of these may
         change afterwards. A member told as gone counts as withdrawn."""
         source = self.sources[name]
         before, source.members, source.revision = source.members, members, revision
-        self._news.extend((source, one, before.get(one)) for one in withdrawn)
-        self._news.extend((source, one, before.get(one)) for one in changed)
+        self._news.append((source, before, chain(withdrawn, changed)))
         self.heard(name, now)
         if not source.told:
             source.told = True
@@ -169,7 +169,7 @@
             source.gone.pop(name, None)
             self._at.setdefault(member.address, {})[name] = None
         self._touch(name)
-        if member is None or old is None or _tightens(old, member):
+        if name in self.shown and (member is None or old is None or _tightens(old, member)):
             self._strict[name] = None
 
     def _touch(self, name: str) -> None:
@@ -179,7 +179,8 @@
             member = source.members.get(name)
             there = self._at.get(member.address, {}) if member is not None else {}
             if len(there) > 1:
-                self._strict.update(dict.fromkeys(other for other in there if other != name))
+                for other in there:
+                    (self._strict if other != name and other in self.shown else self._other)[other] = None
 
     def _all_anew(self) -> None:
         for source in self._ranked:
@@ -235,10 +236,15 @@
         portion = list[Shown]()
         if not self.open(now):
             return portion
-        for _ in range(min(most * NOTED, len(self._news))):
-            self._note(now, *self._news.popleft())
         if self._news:
-            return portion  # nothing is merged out of half of what a source has said
+            source, before, names = self._news[0]
+            some = list(islice(names, most * NOTED))
+            for name in some:
+                self._note(now, source, name, before.get(name))
+            if len(some) < most * NOTED:
+                self._news.popleft()
+            if self._news or len(some) > most:
+                return portion  # nothing is merged out of half of what a source has said
         for _ in range(most):
             queue = self._strict or self._other
             if not queue:
@@ -262,10 +268,8 @@
                 self._held[name] = until
                 reason = Reason("", 0, "came back too often: held back")
                 member = replace(before.member, state=EngineState.DRAINING) if before is not None else None
-        if served and not serves:
+        if not serves and (self._held.pop(name, None) is not None or served):
             self._left(now, name)
-        if not serves:
-            self._held.pop(name, None)
         if member is None:
             if before is None:
                 return None
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -3,6 +3,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 import structlog
@@ -21,6 +22,8 @@
 
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
+DROPPED = 1000  # engines let go of in one sweep: a list may lose ten thousand at once
+
 log = structlog.get_logger()
 
 
@@ -418,7 +421,7 @@
     def sweep(self) -> None:
         for peer in self._peers.values():
             peer.sweep()
-        for engine in [engine for engine in self._gone if not self._peers[engine].lines]:
+        for engine in list(islice((e for e in self._gone if not self._peers[e].lines), DROPPED)):
             self._drop(engine, at_once=True)
 
     def knows(self, engine: int) -> bool:
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -88,7 +88,8 @@
         if parts is not None:
             from vanerelay.membership.joined import Membership
 
-            members = Membership(reactor, clock, parts, locations, kinds, self.service.listed)
+            members = Membership(reactor, clock, parts, locations, kinds, self.service.listed,
+                                 self._large_list)
             self._membership = members
             changed, answered = members.fed, members.feed_answers
         self.roster = Roster(reactor, pool, told["feed"], locations, kinds, connect_s, changed, answered)
@@ -138,10 +139,20 @@
         # With thousands of batches open a collection costs what it is to spare them: over 100 ms under
         # overload. With few it costs little, and a long day that never stands idle needs it: what a
         # connection leaves behind are cycles.
-        if gc.get_count()[0] > LITTLE and (self.service.open < FEW or self._memory_short()):
+        short = gc.get_count()[0] > LITTLE and self._memory_short()
+        if gc.get_count()[0] > LITTLE and (self.service.open < FEW and not self._listing() or short):
+            if short:
+                gc.unfreeze()  # what a large list was frozen with may have become garbage
             gc.collect()
         self._reactor.callLater(1.0, self._sweep)
 
+    def _listing(self) -> bool:
+        return self._membership is not None and self._membership.busy
+
+    def _large_list(self) -> None:
+        """Ten thousand engines are half a million objects, a quarter of a second in each collection."""
+        gc.freeze()
+
     def _memory_short(self) -> bool:
         """Whether half of the memory told is in use."""
         with open("/proc/self/statm", encoding="ascii") as file:
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -18,7 +18,7 @@
 from vanerelay.net.clients import ClientConnection, Taken
 from vanerelay.net.clock import UNITS, Clock
 from vanerelay.net.ends import Cause, End, Stage
-from vanerelay.net.engines import Attempt, Engines, Line
+from vanerelay.net.engines import DROPPED, Attempt, Engines, Line
 from vanerelay.net.peers import Peers
 from vanerelay.net.resp import Note
 from vanerelay.net.statements import table_group
@@ -197,7 +197,8 @@
     def sweep(self) -> None:
         """Lets go of connections that the engines are about to close, and of engines that are gone."""
         self._engines.sweep()
-        for engine in [engine for engine in self._gone if not self._engines.knows(engine)]:
+        unknown = (engine for engine in self._gone if not self._engines.knows(engine))
+        for engine in list(itertools.islice(unknown, DROPPED)):
             self._gone.remove(engine)
             self._names.forget(engine)
 
