Control service over xDS: engines, weights, drains and limits handed to proxies

Need: other buildings put proxies of their own in front of engines and want our decisions. Change: vanerelay/xds (plans, one stream's protocol, resources by content, loads of proxies, census, TLS from files), 'vanerelay proxies', the module hands a stated part of its slices and cold budgets to proxies and heeds what they report.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -519,3 +519,57 @@
             assert kept <= up and (len(kept) == len(up) or len(kept) >= 8), step
         memory = sum(32000.0 * min(1.0, e.weight) for e in there.values() if e.state is EngineState.UP)
         assert abs(world.gateway.pool.memory - 1.0 - memory) < 1e-3
+
+
+def test_what_is_handed_to_proxies_is_not_filled_twice():
+    world = World(2)
+    whole = [c.part for c in world.gateway.conditions()]
+    assert whole == [1.0, 1.0] and all(c.warm and c.sound for c in world.gateway.conditions())
+    for part, most in ((0.0, 12), (0.5, 6), (0.9, 2)):
+        world = World(2)
+        world.gateway.hand(part)
+        for _ in range(40):
+            world.take(memory=BUSY / 2)
+        held = sum(e.ledger.granted for e in world.gateway._engines.values())
+        assert held <= 64000.0 * (1.0 - part) + 2 * BUSY and (part or held > 40000.0)
+        assert len(world.did("dispatch")) <= most
+        assert [c.part for c in world.gateway.conditions()] == whole  # for both together
+
+
+def test_a_cold_engine_s_budget_is_shared_with_proxies():
+    sent = []
+    for part in (0.0, 0.5):
+        world = World(0)
+        world.gateway.hand(part)
+        world.gateway.listed([entry(0, started=world.now)], True)
+        for _ in range(400):
+            world.take(cost=20_000)
+        sent.append(world.gateway._engines[0].ramp.sent.total(world.now, 0))
+        cold, = world.gateway.conditions()
+        assert not cold.warm and cold.share == pytest.approx(0.3)
+    assert 0.0 < sent[1] <= sent[0] / 2 + 20_000
+
+
+def test_what_proxies_report_weighs_on_an_engine():
+    world = World(2)
+
+    def go(count):
+        for _ in range(count):
+            batch = world.take()
+            batch.ended(0, Outcome.RETURNED, 1500, True, 1000, 400.0, LoadReport(cores_busy=0.05))
+            world.now += 10
+        return [engine for _, engine, _ in world.did("dispatch")[-count:]]
+
+    go(200)
+    world.gateway.proxied(0, 40.0, 0.0, 0.0)
+    to = go(200)
+    assert to.count(0) < 20 and to.count(1) > 180  # taken by proxies, as they told
+    world.now += 20 * SECOND  # a word that old says nothing
+    assert go(200).count(0) > 60
+    sick = World(4)
+    for _ in range(5):
+        sick.gateway.proxied(2, 0.0, 40.0, 40.0)  # all that they send there fails
+        sick.run(SECOND)
+    assert [c.entry.engine for c in sick.gateway.conditions() if not c.sound] == [2]
+    sick.gateway.proxied(99, 1.0, 1.0, 1.0)  # not listed: nothing
+    assert sick.gateway.shed(0) == 0.0 and sick.gateway.usual_grant(0) >= 0.0
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -44,7 +44,8 @@
 class Lazy(click.Group):
     """Loads a subsystem's commands when they are called: a start without them imports nothing of theirs."""
 
-    PARTS = {"members": ("vanerelay.membership.commands", "requirements-membership.txt")}
+    PARTS = {"members": ("vanerelay.membership.commands", "requirements-membership.txt"),
+             "proxies": ("vanerelay.membership.commands", "requirements-membership.txt")}
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.PARTS])
@@ -67,16 +68,20 @@
         sys.exit(2)
 
 
-def _membership(options: str | None) -> Any:
-    """What the operators' options say of membership; None without them, or where they say nothing."""
-    if options is None:
-        return None
-    parts = _subsystem("vanerelay.membership.parts", "requirements-membership.txt")
+def _subsystems(path: str | None) -> dict[str, Any]:
+    """What the operators' options switch on, by name."""
+    if path is None:
+        return {}
+    options = _subsystem("vanerelay.options", "requirements-xds.txt")
     try:
-        return parts.read(options)
-    except parts.BadOptions as fault:
+        found: dict[str, Any] = options.subsystems(path)
+        return found
+    except options.BadOptions as fault:
         click.echo(f"vanerelay: options {fault}", err=True)
-        sys.exit(2)
+    except ModuleNotFoundError as fault:
+        wanted = "expected what requirements-xds.txt pins"
+        click.echo(f"vanerelay: {fault.name} is not installed, {wanted}", err=True)
+    sys.exit(2)
 
 
 @click.group(cls=Lazy)
@@ -105,11 +110,12 @@
     from vanerelay.net.program import BadStart, Program, read
 
     try:
-        parts = _membership(options)
+        parts = _subsystems(options)
         told = read(config)
         name = name or str(told.get("name", ""))
         structlog.contextvars.bind_contextvars(gateway=name)
-        program = Program(reactor, clock, told, listen or str(told.get("listen", "")), parts)
+        program = Program(reactor, clock, told, listen or str(told.get("listen", "")),
+                          parts.get("membership"), parts.get("xds"))
     except BadStart as fault:
         click.echo(f"vanerelay: {fault}", err=True)
         sys.exit(2)
@@ -142,10 +148,13 @@
     engines = {member.name for change in changes for member in change.members}
     click.echo(f"service groups: {', '.join(group.name for group in groups)}")
     click.echo(f"engines known: {len(engines)}")
-    parts = _membership(options)
-    if parts is not None:
-        sources = sorted([parts.feed, *(one.standing for one in parts.watched)], key=lambda s: s.precedence)
+    parts = _subsystems(options)
+    if "membership" in parts:
+        watched = (one.standing for one in parts["membership"].watched)
+        sources = sorted([parts["membership"].feed, *watched], key=lambda source: source.precedence)
         click.echo(f"sources of engines: {', '.join(source.name for source in sources)}")
+    if "xds" in parts:
+        click.echo(f"proxies: {parts['xds'].listen}")
 
 
 @main.command()
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 
 from vanerelay.interface import (
-    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, Bounds, ColdStart, Effect,
-    EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
+    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, Bounds, ColdStart, Condition,
+    Effect, EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
     ServiceGroup, Transport,
 )
 from vanerelay.measure import Estimate, Ring, quantile, rank_among, scatter
@@ -119,7 +119,7 @@
     def restart(self, began: int) -> None:
         self.began, self._mine = began, None
 
-    def _is_mine(self) -> bool:
+    def mine(self) -> bool:
         if self._mine is None:
             self._mine = rank_among(self._name, self._place.number, self._place.gateways) < self._sharers
         return self._mine
@@ -128,10 +128,12 @@
         age = max(0.0, (now - self.began) / max(1, self._cold.warm_after))
         return min(1.0, self._cold.share + (1.0 - self._cold.share) * age)
 
-    def allows(self, now: int, work: float) -> bool:
-        warm = now - self.began >= self._cold.warm_after + self._cold.window
-        return warm or self._is_mine() and self.sent.total(now, 0) + work <= self._budget * self.share(
-            max(self.began, now - self._cold.window))
+    def warm(self, now: int) -> bool:
+        return now - self.began >= self._cold.warm_after + self._cold.window
+
+    def allows(self, now: int, work: float, kept: float = 1.0) -> bool:  # kept: from proxies
+        return self.warm(now) or self.mine() and self.sent.total(now, 0) + work <= kept * self._budget * (
+            self.share(max(self.began, now - self._cold.window)))
 
 
 class Health:
@@ -166,6 +168,9 @@
             self._ring = Ring(self.MEMORY, 2, 8)
         self._ring.add(now, 1, 1 if outcome in FAULTS else 0)
 
+    def told(self, now: int, ended: float, errors: float) -> None:
+        self._ring.add(now, ended, errors)
+
     def faults(self, now: int) -> float:
         return self._ring.total(now, 1) / (self._ring.total(now, 0) + 1.0)
 
@@ -180,12 +185,14 @@
 
 class Engine:
     LEND = 0.85  # departure: most of others' slices, lent where reports say that nobody holds it
+    PROXIED = 10 * SECOND  # how long a proxy's word of its load holds, which comes every few seconds
     AGED = 2 * SECOND  # a report this old tells a third of what it did, the usual of all reports the rest
 
     def __init__(self, entry: EngineEntry, kind: MachineKind, ramp: Ramp) -> None:
         self.entry, self.health, self.listed, self.ramp = entry, Health(), False, ramp
         self.ledger, self.told, self._told_at = Ledger(kind.memory, kind.cores), 1.0, NEVER  # told of others
         self.pooled = 0.0  # the part of it that counts in the pool, while it is listed
+        self.proxied, self.proxied_at = 0.0, NEVER  # held by proxies that we hand engines to, as they told
 
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
@@ -197,7 +204,8 @@
             self.told, self._told_at = max(0.0, max(shares) - self.ledger.used()), now
 
     def others(self, now: int, usual: float) -> float:  # the older the report, the nearer to the usual
-        return usual + (self.told - usual) * math.exp((self._told_at - now) / self.AGED)
+        aged = usual + (self.told - usual) * math.exp((self._told_at - now) / self.AGED)
+        return max(aged, self.proxied if now - self.proxied_at < self.PROXIED else 0.0)
 
     def ours(self, now: int, usual: float, part: float) -> float:  # what our grants may fill: our part and up
         lent = self.LEND * (1.0 - part) - self.others(now, usual)
@@ -239,17 +247,17 @@
     KEPT, LEAST = 200, 0.01  # arrivals that stand for the traffic; the least share that is shed
 
     def __init__(self, goal: int) -> None:
-        self._goal, self.share, self._bar = goal, 0.0, 0.0
+        self._goal, self.share, self.bar = goal, 0.0, 0.0
         self._came: deque[tuple[float, float]] = deque(maxlen=self.KEPT)  # utility by work, work
 
     def admits(self, utility: float, work: float) -> bool:
         self._came.append((utility / max(1.0, work), work))
-        return self._came[-1][0] >= self._bar
+        return self._came[-1][0] >= self.bar
 
     def look(self, wait: int) -> None:
         wanted = min(self.MOST, max(0.0, (wait / self._goal - self.FROM) / self.OVER))
         self.share += (wanted - self.share) * self.EASE
-        self._bar = quantile(self._came, self.share) if self.share >= self.LEAST else 0.0
+        self.bar = quantile(self._came, self.share) if self.share >= self.LEAST else 0.0
 
 
 class Ration:  # rule 7: dispatches beyond each batch's first, in any window
@@ -400,6 +408,7 @@
         self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
         self._off = dict[int, Engine]()  # engines that are not listed, kept while they hold some of ours
         self.pool, self._usual, self._rank, self._slice = Ledger(0.0, 0), 1.0, 0, 1.0 / place.gateways
+        self._kept_part = 1.0  # of our slices: departure, the rest is handed to proxies
         self._needs, self._beat_at, self._born = {place.number: (NEVER, 0.0)}, transport.now, transport.now
         self._stake = min((g.utility for g in groups if g.effect is Effect.REPEATABLE), default=0.0)
         transport.call_later(BEAT, self._beat)
@@ -490,8 +499,9 @@
         cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
         # One that runs none of ours may take it too, while all our grants keep to our part of the fleet.
-        pooled = not self.pool.running or self.pool.fits(grant, threads, self._slice)
-        parts = [(e.ours(now, usual, self._slice), e) for e in able]
+        own = self._slice * self._kept_part
+        pooled = not self.pool.running or self.pool.fits(grant, threads, own)
+        parts = [(e.ours(now, usual, own), e) for e in able]
         fitting = [e for part, e in parts
                    if e.ledger.fits(grant, threads, part) or pooled and not e.ledger.running]
         if not fitting:
@@ -519,7 +529,7 @@
 
     def _able(self, now: int, batch: Batch, engine: Engine, weight: float) -> bool:
         """Rules 2, 3, 4, 6; and health, or a trial with little at stake: one repeatable batch at a time."""
-        if now >= batch.allowed_until() or not engine.ramp.allows(now, weight):
+        if now >= batch.allowed_until() or not engine.ramp.allows(now, weight, self._kept_part):
             return False
         if engine.health.level >= Health.LOW:
             return True
@@ -574,6 +584,41 @@
     def heard_from(self, gateway: int, need: bytes) -> None:
         self._needs[gateway] = self.transport.now, float(int.from_bytes(need[:4], "big"))
 
+    def conditions(self) -> list[Condition]:
+        """How each listed engine is held, for those that hand our decisions on."""
+        now, found = self.transport.now, list[Condition]()
+        for _, _, e in self._order:
+            part = e.health.level * min(1.0, e.entry.weight) * self._slice
+            found.append(Condition(
+                e.entry, e.health.level, e.health.level >= Health.LOW, e.ramp.warm(now), e.ramp.mine(),
+                e.ramp.share(now), part, e.ledger.memory, e.ledger.cores))
+        return found
+
+    def hand(self, part: float) -> None:
+        """That part of our slices, and of our budgets of cold engines, goes to proxies; the rest is ours to
+        fill."""
+        self._kept_part = 1.0 - part
+
+    def proxied(self, engine: int, running: float, ended: float, errors: float) -> None:
+        """What proxies hold on an engine, and how many that they sent there ended, and with an error, since
+        the last."""
+        found, now = self._engines.get(engine), self.transport.now
+        if found is not None:
+            found.proxied, found.proxied_at = running / (found.ledger.cores * Ledger.WIDTH), now
+            found.health.told(now, ended, errors)
+            self._looked_after[engine] = found
+
+    def usual_grant(self, group: int) -> float:
+        """What a batch of a group is granted that tells no estimate and touches no known tables; 0:
+        unknown."""
+        return self._peaks.size(self.transport.now, group, -1, 0.0, math.inf)
+
+    def shed(self, group: int) -> float:
+        """The part of a group's batches that the door turns away at the moment: all but few, or none."""
+        group_of = self._groups[group]
+        low = group_of.utility / max(1.0, self.pace.weight(group, 0)) < self._door.bar
+        return self._door.share if low else 0.0
+
     def heard(self, engine: Engine, report: LoadReport | None) -> None:
         engine.heard(self.transport.now, report, max(1.0, self.pool.threads / max(1, self.pool.running)))
         self._usual += (engine.told - self._usual) / 20  # reports that it averages
--- a/vanerelay/grpc_wire/limits.py
+++ b/vanerelay/grpc_wire/limits.py
@@ -12,6 +12,7 @@
 DATA, HEADERS, PRIORITY, RST_STREAM, SETTINGS, PUSH_PROMISE, PING, GOAWAY, WINDOW_UPDATE, CONTINUATION = (
     range(10)
 )
+REFUSED = 256  # no frame's type: a call past the limit
 
 
 @dataclass(frozen=True, slots=True)
--- a/vanerelay/grpc_wire/session.py
+++ b/vanerelay/grpc_wire/session.py
@@ -25,17 +25,18 @@
     TrailersReceived,
 )
 from h2.exceptions import H2Error
-from h2.settings import SettingCodes
+from h2.settings import SettingCodes, Settings
 from hyperframe.frame import GoAwayFrame
 
 from vanerelay.grpc_wire import status
 from vanerelay.grpc_wire.frames import FRAME_MOST, Broken, Messages, Splitter, prefix
-from vanerelay.grpc_wire.limits import GOAWAY, Limits, Meter
+from vanerelay.grpc_wire.limits import GOAWAY, REFUSED, Limits, Meter
 from vanerelay.grpc_wire.status import Code, Status
 
 PIECE = 65_536  # bytes that `outgoing` hands out at a time, about
 WINDOW = 2**20  # bytes that a peer may have under way to us on a connection
 LAST = 2**31 - 1
+SPARE = 1000  # calls past the limit that are refused one by one
 ENCODINGS = "identity,gzip"
 
 Headers = list[tuple[str, str]]
@@ -123,14 +124,8 @@
         """`wake` is called when something waits to be sent, other than in answer to `feed`."""
         self.limits, self._wake, self._now = limits, wake, now
         self._h2 = H2Connection(H2Configuration(client_side=self.client, header_encoding="utf-8"))
-        self._h2.local_settings.update(
-            {
-                SettingCodes.MAX_CONCURRENT_STREAMS: limits.streams,
-                SettingCodes.MAX_HEADER_LIST_SIZE: limits.headers,
-                SettingCodes.MAX_FRAME_SIZE: FRAME_MOST,
-                SettingCodes.ENABLE_PUSH: 0,
-            }
-        )
+        # As initial values: what is set otherwise is told only once the peer has acknowledged something.
+        self._h2.local_settings = self._settings(limits.streams)
         self._splitter, self._meter = Splitter(not self.client), Meter()
         self.calls: dict[int, Call] = {}
         self._ready: dict[Call, None] = {}  # calls with something to send
@@ -139,8 +134,23 @@
         self._latest = 0  # the peer's last call
         self.ending, self.ended = False, ""  # takes no new calls; why it is over
         self._h2.initiate_connection()
+        # h2 ends a connection on a call past the limit, which a peer may open before it has heard of one:
+        # what
+        # it holds them to is above what was told, and those between are refused alone.
+        self._h2.local_settings = self._settings(limits.streams + SPARE)
         self._h2.increment_flow_control_window(WINDOW)
 
+    def _settings(self, streams: int) -> Settings:
+        return Settings(
+            client=self.client,
+            initial_values={
+                SettingCodes.MAX_CONCURRENT_STREAMS: streams,
+                SettingCodes.MAX_HEADER_LIST_SIZE: self.limits.headers,
+                SettingCodes.MAX_FRAME_SIZE: FRAME_MOST,
+                SettingCodes.ENABLE_PUSH: 0,
+            },
+        )
+
     # Bytes.
 
     def feed(self, now: int, data: bytes) -> None:
@@ -387,6 +397,9 @@
         # h2 holds the peer to our settings once it has acknowledged them, which it may never do.
         if self.ending or len(self.calls) >= self.limits.streams:
             self._h2.reset_stream(stream, ErrorCodes.REFUSED_STREAM)
+            costs = self._meter.costs(self._now, REFUSED, 0)
+            if costs is not None and not self.ending:
+                self._end(ErrorCodes.ENHANCE_YOUR_CALM, costs)
             return
         if sum(len(name) + len(value) + 32 for name, value in headers.items()) > self.limits.headers:
             self._h2.send_headers(stream, [(":status", "431")], end_stream=True)
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -197,6 +197,24 @@
         return [share for share in told if share is not None]
 
 
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """How the module holds a listed engine at the moment. `level`: its health, 0 to 1, `sound` whether that
+    lets more than a trial through; `warm`: past the rule on cold engines, else `ours` whether this gateway
+    warms it at all, and `share` how far it has come; `part`: what of the engine our grants and those of our
+    proxies may fill."""
+
+    entry: EngineEntry
+    level: float
+    sound: bool
+    warm: bool
+    ours: bool
+    share: float
+    part: float
+    memory: float
+    cores: float
+
+
 @dataclass(slots=True)
 class Arrival:
     """A batch as it comes in; cost is 0 and memory 0 where no estimate was told. The number of its table
--- a/vanerelay/membership/commands.py
+++ b/vanerelay/membership/commands.py
@@ -238,3 +238,20 @@
     """Says that a list held back, since it loses many engines at once, is meant."""
     head, _ = _ask(socket, op="confirm", source=source)
     click.echo(f"{head['source']}: revision {head['revision']} is in force")
+
+
+@click.command()
+@SOCKET
+@JSON
+def proxies(socket: str, as_json: bool) -> None:
+    """The streams of proxies at the control service: what they acknowledged, how far behind, what they
+    refused."""
+    head, rows = _ask(socket, op="proxies")
+    if not as_json:
+        click.echo(f"proxies that share: {head['proxies']}, streams: {head['streams']}")
+        for row in rows:
+            row["acknowledged"] = " ".join(f"{kind}:{one or '-'}" for kind, one in row["versions"].items())
+    _rows(rows, as_json, "node", "locality", "protocol", "behind_s", "unsent", "nacks", "acknowledged")
+    for row in () if as_json else rows:
+        for kind, why in row["refused"].items():
+            click.echo(f"refused: {row['node']}: {kind}: {why}")
--- a/vanerelay/membership/console.py
+++ b/vanerelay/membership/console.py
@@ -11,7 +11,7 @@
 
 VERSION = 1
 LINE_MOST = 4096  # bytes of a request
-Op = Literal["show", "history", "pin", "unpin", "confirm", "changes", "list"]
+Op = Literal["show", "history", "pin", "unpin", "confirm", "changes", "list", "proxies"]
 
 
 class Request(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/vanerelay/membership/joined.py
+++ b/vanerelay/membership/joined.py
@@ -56,6 +56,7 @@
         self._storing = DeferredLock()
         self._store_says = ""
         self._desk: Any = None
+        self.more: dict[str, Callable[[Request], Answer]] = {}  # what other subsystems answer, by op
         self.files = {one.standing.name: self._watched(one) for one in parts.watched}
         if parts.kept is not None:
             self._restore(open_store(parts.kept.folder, parts.kept.keep))
@@ -231,6 +232,10 @@
     def _answers(self, asked: Request) -> Any:
         if asked.op == "show":
             return self._show(asked)
+        if asked.op in self.more:
+            return self.more[asked.op](asked)
+        if asked.op == "proxies":
+            return Wrong("no control service, expected an xds block in the options")
         if asked.op == "changes":
             latest = list(self.view.history)[-asked.most :]
             return Answer(self._row(shown) for shown in latest)
--- a/vanerelay/membership/parts.py
+++ b/vanerelay/membership/parts.py
@@ -7,7 +7,7 @@
 from vanerelay.membership.lists import Checks
 from vanerelay.membership.settle import Stillness
 from vanerelay.membership.view import FEED, FILES, Flapping, Standing
-from vanerelay.options import BadOptions, Block
+from vanerelay.options import Block
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,16 +84,3 @@
 
 def _precedence(block: Block, default: int) -> dict[str, int]:
     return {"precedence": block.take("precedence", int, default)}
-
-
-def read(path: str) -> Parts | None:
-    """The subsystem as an operators' file sets it; None where the file does not speak of it."""
-    from vanerelay import options
-
-    document = options.read(path)
-    block = document.only("membership")
-    document.done()
-    return parts(block) if block is not None else None
-
-
-__all__ = ["BadOptions", "Kept", "Parts", "Watched", "parts", "read"]
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -424,6 +424,10 @@
         for engine in list(islice((e for e in self._gone if not self._peers[e].lines), DROPPED)):
             self._drop(engine, at_once=True)
 
+    def addresses(self) -> dict[int, str]:
+        """Where each engine is listed, by the module's index."""
+        return {engine: life[0] for engine, life in self._lives.items()}
+
     def knows(self, engine: int) -> bool:
         return engine in self._peers
 
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from vanerelay.membership.joined import Membership
     from vanerelay.membership.parts import Parts
+    from vanerelay.xds.parts import Parts as ControlParts
+    from vanerelay.xds.service import ControlService
 
 # After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
 # counts what comes within 0.7 s.
@@ -60,8 +62,8 @@
     """The parts of one workload manager, each made with its own few settings."""
 
     def __init__(self, reactor: Any, clock: Clock, told: dict[str, Any], listen: str,
-                 parts: Parts | None = None) -> None:
-        """`parts`: the membership subsystem as the operators' options set it; None where it is off."""
+                 parts: Parts | None = None, control: ControlParts | None = None) -> None:
+        """`parts`, `control`: membership and the control service as operators set them; None where off."""
         self._reactor, self._clock = reactor, clock
         host, _, port = listen.rpartition(":")
         profile = told["settings"]
@@ -101,6 +103,9 @@
         wrong = self.roster.apply(told["known"])
         if wrong is not None:
             raise BadStart(f"the list known at the start: {wrong}")
+        self._control: ControlService | None = None
+        if control is not None:
+            self._open_control(control, profile, names[0])
         wrong = self._membership.start() if self._membership is not None else None
         if wrong is not None:
             raise BadStart(f"the console: {wrong}")
@@ -146,6 +151,21 @@
             gc.collect()
         self._reactor.callLater(1.0, self._sweep)
 
+    def _open_control(self, control: ControlParts, profile: dict[str, Any], locations: list[str]) -> None:
+        from vanerelay.xds.assign import Terms
+        from vanerelay.xds.service import ControlService
+
+        cold = terms.cold_start(profile)
+        groups = tuple(terms.service_groups(profile))
+        told = Terms(groups, terms.allowances(profile), terms.ration_terms(profile), cold.multiple)
+        self._control = ControlService(self._reactor, self._clock, control, self.service, told, locations)
+        if self._membership is not None:
+            self._membership.more["proxies"] = self._control.answer
+        try:
+            self._control.start()
+        except (CannotListenError, OSError) as fault:
+            raise BadStart(f"the control service: {fault}") from None
+
     def _listing(self) -> bool:
         return self._membership is not None and self._membership.busy
 
@@ -180,7 +200,8 @@
             self._reactor.callLater(0.01, self._await_answers)
             return
         self.roster.stop()
-        if self._membership is not None:
-            self._membership.stop()
+        for part in (self._control, self._membership):
+            if part is not None:
+                part.stop()
         self._engines.close()
         self._drained.callback(None)
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -79,6 +79,7 @@
         self._guard_at: int | None = None
         self._guard_timer: Any = None
         self._listed = self.ending = False
+        self.watchers = list[Callable[[feed.Change], None]]()  # told of each change of the list in force
         self.open, self._room = 0, room
         self.now = clock.now()
 
@@ -87,6 +88,17 @@
         if self._peers is not None:
             self._peers.heard_from = lambda number, data: self._heard_from(gateway, number, data)
 
+    @property
+    def gateway(self) -> Gateway:
+        """The module, for those that hand its decisions on."""
+        assert self._gateway is not None
+        self.now = self._clock.now()
+        return self._gateway
+
+    def addresses(self) -> dict[int, str]:
+        """Where each engine is listed, by the module's index."""
+        return self._engines.addresses()
+
     # What clients bring.
 
     def ready(self) -> bool:
@@ -193,6 +205,8 @@
         self._listed = True
         if self._gateway is not None:
             self._call(None, self._gateway.listed, entries, change.whole)
+        for watcher in self.watchers:
+            watcher(change)
 
     def sweep(self) -> None:
         """Lets go of connections that the engines are about to close, and of engines that are gone."""
--- a/vanerelay/options.py
+++ b/vanerelay/options.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import importlib
 import re
 import typing
 from collections.abc import Iterator
@@ -112,6 +113,21 @@
             raise self.wrong(f"{name}: {fault}", name) from None
 
 
+SUBSYSTEMS = {"membership": "vanerelay.membership.parts", "xds": "vanerelay.xds.parts"}
+
+
+def subsystems(path: str) -> dict[str, Any]:
+    """The parts of each subsystem that the file switches on, by the name of its block; nothing of the others
+    is imported. Raises BadOptions."""
+    document, found = read(path), dict[str, Any]()
+    for name, module in SUBSYSTEMS.items():
+        block = document.only(name)
+        if block is not None:
+            found[name] = importlib.import_module(module).parts(block)
+    document.done()
+    return found
+
+
 def read(path: str) -> Block:
     """The whole file as a block without a name. Raises BadOptions."""
     try:
