--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -36,3 +36,13 @@
     socket = "/run/vanerelay/console"
   }
 }
+
+# The control service for proxies (xDS). Off: take out the signs to switch it on; docs/operators/xds.md has all words.
+# xds {
+#   listen  = "127.0.0.1:18000"
+#   nodes   = ["packing-*"]
+#   proxies = 20
+#   handed {
+#     part = 0.5 # of our slices; the rest is for our own clients
+#   }
+# }
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -22,7 +22,7 @@
 
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
-DROPPED = 1000  # engines let go of in one sweep: a list may lose ten thousand at once
+DROPPED = 2500  # engines let go of in one sweep: a list may lose ten thousand at once
 
 log = structlog.get_logger()
 
@@ -358,6 +358,7 @@
         self._connect_s, self._idle_s, self._connections, self._full = connect_s, idle_s, connections, False
         self._gone: set[int] = set()
         self._peers: dict[int, Peer] = {}
+        self._called: dict[Peer, None] = {}  # those that have connections, or had when last swept
         self._addresses: dict[str, int] = {}
         self._lives: dict[int, tuple[str, int]] = {}
 
@@ -411,7 +412,9 @@
             return
         self._full = False
         attempt.timer = self._reactor.callLater(time_out_s, attempt.give_up, Cause.TIME_OUT)
-        (line or peer.call()).send(attempt)
+        if line is None:
+            line, self._called[peer] = peer.call(), None
+        line.send(attempt)
 
     def probe(self, engine: int) -> None:
         peer = self._peers.get(engine)
@@ -419,8 +422,10 @@
             peer.probe(b"probe")
 
     def sweep(self) -> None:
-        for peer in self._peers.values():
+        for peer in list(self._called):
             peer.sweep()
+            if not peer.lines:
+                del self._called[peer]
         for engine in list(islice((e for e in self._gone if not self._peers[e].lines), DROPPED)):
             self._drop(engine, at_once=True)
 
@@ -432,7 +437,7 @@
         return engine in self._peers
 
     def connections(self) -> int:
-        return sum(len(peer.lines) for peer in self._peers.values())
+        return sum(len(peer.lines) for peer in self._called)
 
     def close(self) -> None:
         for peer in self._peers.values():
