--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -337,3 +337,18 @@
                 assert model.holds.get(name) == version or refused.get(name) == version, (path, model.holds)
             assert not model.told.behind(there) or refused, path
     assert count > 1000
+
+
+def test_a_drain_and_a_return_within_one_round_trip():
+    """Nothing is acknowledged between them; the proxy ends with the return, whichever answer comes when."""
+    up, drained = {"a": "up"}, {"a": "drained"}
+    told = Told(E, False)
+    told.world("", ["a"], "", None)
+    for number, there in enumerate((up, drained, up)):
+        send = due(told, there)
+        assert dict(send.resources) == there
+        told.sent(f"n{number}", send)
+    assert due(told, up) is None and told.behind(up)
+    for number in range(3):
+        assert told.world(told.acked, ["a"], f"n{number}", None) is None and due(told, up) is None
+    assert not told.behind(up) and told.acked == resources.version(up)
