Without membership the objects of the start stay frozen when memory is short

Cause: with half of the memory told in use, every collection unfroze what the start had frozen, though only a large list needs that. Change: only with membership switched on.

--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -146,7 +146,7 @@
         # connection leaves behind are cycles.
         short = gc.get_count()[0] > LITTLE and self._memory_short()
         if gc.get_count()[0] > LITTLE and (self.service.open < FEW and not self._listing() or short):
-            if short:
+            if short and self._membership is not None:
                 gc.unfreeze()  # what a large list was frozen with may have become garbage
             gc.collect()
         self._reactor.callLater(1.0, self._sweep)
