--- a/vanerelay/membership/settle.py
+++ b/vanerelay/membership/settle.py
@@ -11,7 +11,7 @@
 
 
 GATHERED = 20 * MILLISECOND  # events of one write are gathered for so long before the files are looked at
-# a thread that reads gives way to the loop as often: at the usual 5 ms passes took 200 ms and more
+# a thread that reads gives way to the loop as often: a pass may wait for several turns
 TURNS_S = 0.0005
 RENEWED = 60 * SECOND  # how often events are asked for again where they were not to be had
 
