--- a/tests/test_members_sockets.py
+++ b/tests/test_members_sockets.py
@@ -291,7 +291,7 @@
     assert "pinned at revision 1" in s.ask("pin", "1") and len(s.engines()) == 2
     again()
     assert len(s.engines()) == 2 and "pinned: main at revision 1" in s.ask("show")
-    s.ask("unpin")
+    assert json.loads(s.ask("unpin", "--json")) == {"source": "main", "pinned": None}
     assert len(s.engines()) == 1 and "not kept" in s.ask("pin", "77", code=2)
     listed = json.loads(s.ask("list"))
     assert listed["revision"] == 2 and [row["id"] for row in listed["members"]] == ["e-1"]
--- a/vanerelay/membership/commands.py
+++ b/vanerelay/membership/commands.py
@@ -212,32 +212,39 @@
     click.echo(json.dumps({"revision": head.get("revision", 0), "members": rows}, indent=1))
 
 
+def _order(socket: str, as_json: bool, says: str, **request: Any) -> None:
+    """An order to a running instance, and what came of it: `says` with the words of its answer."""
+    head, _ = _ask(socket, **request)
+    told = {name: value for name, value in head.items() if name not in ("v", "ok")}
+    click.echo(json.dumps(told) if as_json else says.format(**told))
+
+
 @members.command()
 @click.argument("revision", type=int)
 @SOURCE
 @SOCKET
-def pin(revision: int, source: str, socket: str) -> None:
+@JSON
+def pin(revision: int, source: str, socket: str, as_json: bool) -> None:
     """Holds a list out of the history in force, whatever the files say, over restarts too."""
-    head, _ = _ask(socket, op="pin", revision=revision, source=source)
-    click.echo(f"{head['source']}: pinned at revision {head['pinned']}")
+    _order(socket, as_json, "{source}: pinned at revision {pinned}", op="pin", revision=revision, source=source)
 
 
 @members.command()
 @SOURCE
 @SOCKET
-def unpin(source: str, socket: str) -> None:
+@JSON
+def unpin(source: str, socket: str, as_json: bool) -> None:
     """Lets the files count again."""
-    head, _ = _ask(socket, op="unpin", source=source)
-    click.echo(f"{head['source']}: the files count again")
+    _order(socket, as_json, "{source}: the files count again", op="unpin", source=source)
 
 
 @members.command()
 @SOURCE
 @SOCKET
-def confirm(source: str, socket: str) -> None:
+@JSON
+def confirm(source: str, socket: str, as_json: bool) -> None:
     """Says that a list held back, since it loses many engines at once, is meant."""
-    head, _ = _ask(socket, op="confirm", source=source)
-    click.echo(f"{head['source']}: revision {head['revision']} is in force")
+    _order(socket, as_json, "{source}: revision {revision} is in force", op="confirm", source=source)
 
 
 @click.command()
