--- a/vanerelay/membership/commands.py
+++ b/vanerelay/membership/commands.py
@@ -226,7 +226,8 @@
 @JSON
 def pin(revision: int, source: str, socket: str, as_json: bool) -> None:
     """Holds a list out of the history in force, whatever the files say, over restarts too."""
-    _order(socket, as_json, "{source}: pinned at revision {pinned}", op="pin", revision=revision, source=source)
+    says = "{source}: pinned at revision {pinned}"
+    _order(socket, as_json, says, op="pin", revision=revision, source=source)
 
 
 @members.command()
