Progress notes end runaways and lost answers; health knows an engine's pace

At fault: Batch.noted read progress only as a sign of life; Health knew no pace; Ledger held the margin of a grant that a paging engine does not keep from anyone.

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -15,7 +15,7 @@
 from vanerelay.interface import (
     MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, Bounds, ColdStart, Condition,
     Effect, EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
-    ServiceGroup, Transport,
+    ServiceGroup, Shortage, Transport,
 )
 from vanerelay.measure import Estimate, Ring, quantile, rank_among, scatter
 
@@ -31,17 +31,26 @@
     STEP = math.log(1.12)  # ladder of buckets: each this much over the one below
     KEPT, RUNS = 30 * SECOND, 20  # how long an entry lasts, and the runs that it averages
 
-    def __init__(self, groups: int) -> None:
+    def __init__(self, groups: int, pages: bool = False) -> None:
+        self._pages = pages  # departure: a grant past the need takes nothing there, so its margin is twice as wide
         self._shapes: dict[tuple[int, int], tuple[float, int, int]] = {}  # offset, runs, until
         self._told = [Estimate(ANSWERS, FAITH) for _ in range(groups)]
 
     def size(self, now: int, group: int, tables: int, told: float, cap: float) -> float:
-        estimate, (offset, _, until) = self._told[group], self._shapes.get((group, tables), (0.0, 0, 0))
-        margin = max(math.log(self.MARGIN), estimate.spread())
-        wanted = estimate.log(told) + margin + (offset if until > now else 0.0)
+        estimate, margin = self._told[group], max(math.log(self.MARGIN), self._told[group].spread())
+        wanted = self._log(now, group, tables, told) + margin * (1.0 + self._pages)
         bucket = math.exp(self.STEP * math.ceil(wanted / self.STEP - 1e-9))
         return min(cap, bucket) if told or estimate.seen else 0.0
 
+    def holds(self, now: int, group: int, tables: int, told: float, grant: float) -> float:
+        """What a grant takes of an engine: all of it, or the peak to expect where only what is used counts."""
+        mean = self._log(now, group, tables, told) + self._told[group].spread() ** 2 / 2
+        return min(grant, math.exp(mean)) if self._pages else grant
+
+    def _log(self, now: int, group: int, tables: int, told: float) -> float:
+        offset, _, until = self._shapes.get((group, tables), (0.0, 0, 0))
+        return self._told[group].log(told) + (offset if until > now else 0.0)
+
     def learn(self, now: int, group: int, tables: int, told: float, peak: float) -> None:
         offset, runs, until = self._shapes.get((group, tables), (0.0, 0, 0))
         runs = runs + 1 if until > now else 1
@@ -137,7 +146,7 @@
 
 
 class Health:
-    """One figure for an engine, from 0 (silent or lost) to 1 (sound). How fast it is, its reports tell."""
+    """One figure for an engine, from 0 (silent or lost) to 1 (sound, and about as fast as the usual)."""
 
     QUIET = 600 * MILLISECOND  # shorter silences are taken for pauses
     PATIENCE = 3.0  # a dispatch out for this many times its expected run is overdue
@@ -145,12 +154,13 @@
     MEMORY = 20 * SECOND  # of errors, as few gateways hear of an engine often; a trial returned clears it
     RISE = 0.5  # most that the level may recover in a second
     LOW = 0.15  # under this an engine gets one trial batch at a time
+    RUNS, SLACK = 6, math.log(1.5)  # runs that its pace averages; how much slower than usual is no sign
 
     def __init__(self) -> None:
         self._ring = Ring(self.MEMORY, 2, 8)  # ends, errors
         self._out: dict[int, tuple[int, float, float]] = {}  # sent, patience, weight as a sign of silence
         self._heard = self._looked = self._missed = self.tried = 0
-        self.lost, self.level = False, 1.0
+        self.lost, self.level, self.pace, self.paced = False, 1.0, 0.0, False  # log of slowdown
 
     def sent(self, now: int, key: int, run: float, weight: float) -> None:
         self._out[key], self.tried = (now, max(self.QUIET, self.PATIENCE * run), weight), now
@@ -171,12 +181,17 @@
     def told(self, now: int, ended: float, errors: float) -> None:
         self._ring.add(now, ended, errors)
 
+    def ran(self, slowdown: float, weight: float) -> None:  # the run of a trial stands for all before it
+        part = weight if self.level < self.LOW or not self.paced else weight / self.RUNS
+        self.pace, self.paced = self.pace + (math.log(max(slowdown, 0.1)) - self.pace) * part, True
+
     def faults(self, now: int) -> float:
         return self._ring.total(now, 1) / (self._ring.total(now, 0) + 1.0)
 
-    def look(self, now: int, usual: float) -> None:
+    def look(self, now: int, usual: float, pace: float) -> None:
         # Departure: what fails at most engines alike is laid to batches or the network, not to any of them.
         target = (1.0 - max(0.0, self.faults(now) - usual) / (1.0 - usual)) ** 3
+        target *= min(1.0, math.exp(pace + self.SLACK - self.pace))
         overdue = sum(weight * ((now - sent) // patience) for sent, patience, weight in self._out.values())
         if self.lost or self._missed + overdue >= self.OVERDUE and now - self._heard > self.QUIET:
             target = 0.0
@@ -265,9 +280,9 @@
     def __init__(self, terms: RationTerms) -> None:
         self._terms, self.ring = terms, Ring(terms.span or 10 * SECOND, 2, 50)  # taken, further dispatches
 
-    def allows(self, now: int) -> bool:
+    def allows(self, now: int, part: float = 1.0) -> bool:
         most = self._terms.free + self._terms.share * self.ring.total(now, 0, short=True)
-        return not self._terms.span or self.ring.total(now, 1) + 1 <= most
+        return not self._terms.span or self.ring.total(now, 1) + 1 <= most * part
 
 
 class Turns:
@@ -316,7 +331,9 @@
 class Dispatch:
     engine: Engine
     grant: float
+    holds: float  # of the engine's memory
     sent: int
+    heard: int
     out: bool = True
     ran: bool = True  # until an outcome proves that it never did
 
@@ -360,10 +377,11 @@
               report: LoadReport | None) -> None:
         gateway, send, now = self._gateway, self.sends[dispatch], self._gateway.transport.now
         send.out, send.ran, self.over = False, outcome not in NEVER_RAN, self.over or over
-        gateway.pool.change(-send.grant, -self.threads, -1)
-        send.engine.ledger.change(-send.grant, -self.threads, -1)
+        gateway.pool.change(-send.holds, -self.threads, -1)
+        send.engine.ledger.change(-send.holds, -self.threads, -1)
+        del gateway.out[id(send)]
         if outcome is Outcome.RETURNED:
-            gateway.learn(self, work, memory, lasted)
+            gateway.learn(self, send.engine, work, memory, lasted)
         if outcome in SPOKEN:
             gateway.heard(send.engine, report)
         send.engine.health.ended(now, id(send), outcome, lasted)
@@ -376,9 +394,12 @@
         gateway.line.serve(gateway.admit)
 
     def noted(self, dispatch: int, kind: NoteKind, value: float) -> None:
-        send = self.sends[dispatch]
-        send.engine.health.heard(self._gateway.transport.now)
-        self._gateway.learn(self, 0, send.grant + value if kind is NoteKind.SPILL else 0.0, 0)
+        send, now = self.sends[dispatch], self._gateway.transport.now
+        send.engine.health.heard(now)
+        send.heard = now
+        self._gateway.learn(self, send.engine, 0, send.grant + value if kind is NoteKind.SPILL else 0.0, 0)
+        if kind is NoteKind.PROGRESS and value > 0.0 and send.out:
+            self._gateway.progressed(self, dispatch, now - send.sent, value)
 
     def left(self) -> None:
         self.over = True
@@ -389,6 +410,8 @@
 
 class Gateway:
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
+    FAR = 4.0  # times its usual run, and again for each further dispatch: estimates miss by 3 in one of twenty
+    LEAST_CLAIM = 0.5  # part of the ration
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
     WITHIN = 64  # bounds whose engines are kept in order apart
     KEPT, COVER, TRIERS = 8, 4, 3  # engines kept; gateways that keep each; those that try a sick one a second
@@ -400,11 +423,13 @@
                  ration: RationTerms, order_pause: int, tick: int) -> None:
         self.transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
         self.allowed, self._cold, self._margin = allowed, cold, 2 * tick + BEAT + 1  # before a time limit
-        self._peaks, self.pace, self._ration = Peaks(len(groups)), Pace(groups), Ration(ration)
+        self._peaks = Peaks(len(groups), allowed.shortage is Shortage.PAGE)
+        self.pace, self._ration = Pace(groups), Ration(ration)
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
         self._picker, self._limits = Picker(random.Random(seed), place.location), list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
         self._within = dict[Bounds, list[tuple[int, str, Engine]]]()  # the same, by the bounds asked for
+        self.out = dict[int, tuple[Batch, int]]()  # all dispatches that are out
         self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
         self._off = dict[int, Engine]()  # engines that are not listed, kept while they hold some of ours
         self.pool, self._usual, self._rank, self._slice = Ledger(0.0, 0), 1.0, 0, 1.0 / place.gateways
@@ -494,33 +519,35 @@
         now, arrival, threads, usual = self.transport.now, batch.arrival, batch.threads, self._usual
         weight = self.pace.weight(arrival.group, arrival.cost)
         able = [e for e in self._kept(batch.bound_to()) if self._able(now, batch, e, weight)]
-        if not able or batch.sends and not self._ration.allows(now):
+        if not able or batch.sends and not self._ration.allows(now, self._claim(batch)):
             return False
         cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
+        holds = self._peaks.holds(now, arrival.group, arrival.tables, arrival.memory, grant)
         # One that runs none of ours may take it too, while all our grants keep to our part of the fleet.
         own = self._slice * self._kept_part
-        pooled = not self.pool.running or self.pool.fits(grant, threads, own)
+        pooled = not self.pool.running or self.pool.fits(holds, threads, own)
         parts = [(e.ours(now, usual, own), e) for e in able]
         fitting = [e for part, e in parts
-                   if e.ledger.fits(grant, threads, part) or pooled and not e.ledger.running]
+                   if e.ledger.fits(holds, threads, part) or pooled and not e.ledger.running]
         if not fitting:
             part, freest = max(parts, key=lambda pair: pair[1].ledger.room(pair[0]))
             bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
-            cut = max(grant * self.CUT, min(grant, freest.ledger.room(part)))
+            cut = max(holds * self.CUT, min(holds, freest.ledger.room(part)))
             if now - batch.held_since < bound or not freest.ledger.fits(cut, threads, part):
                 return False
-            fitting, grant = [freest], cut
+            fitting, grant, holds = [freest], min(grant, cut), cut
         engine = self._picker.draw(now, fitting, batch, usual)
         light = self.pace.alone(arrival.group, arrival.cost) < batch.group.goal / 4  # soon wanted
         self.transport.grant(arrival.index, round(grant), 2 if light and self.allowed.priorities else 1)
         self._ration.ring.add(now, 0, 1 if batch.sends else 0)
         run = self.pace.run(now, arrival.group, arrival.cost)
-        send = Dispatch(engine, grant, now)
+        send = Dispatch(engine, grant, holds, now, now)
+        self.out[id(send)] = batch, len(batch.sends)
         batch.sends.append(send)
         batch.held = False
-        engine.ledger.change(grant, threads, 1)
-        self.pool.change(grant, threads, 1)
+        engine.ledger.change(holds, threads, 1)
+        self.pool.change(holds, threads, 1)
         engine.ramp.sent.add(now, weight)
         engine.health.sent(now, id(send), run, 0.2 if batch.group.meets_loads() else 1.0)  # may stand still
         self._looked_after[engine.entry.engine] = engine
@@ -556,16 +583,23 @@
     def _beat(self) -> None:
         now = self.transport.now
         stalled, self._beat_at = now - self._beat_at > 4 * BEAT, now  # then nobody else is to blame
-        usual = quantile([(e.health.faults(now), 1.0) for _, _, e in self._order[:self.KEPT]], 0.49)
+        kept = [e.health for _, _, e in self._order[:self.KEPT]]
+        usual = quantile([(health.faults(now), 1.0) for health in kept], 0.49)
+        pace = quantile([(health.pace, 1.0) for health in kept if health.paced], 0.49)
         for engine in list(self._looked_after.values()):  # those that hold some of ours, or are not sound
             if stalled:
                 engine.health.heard(now)
             sick = engine.health.level < Health.LOW
-            engine.health.look(now, usual)
+            engine.health.look(now, usual, pace)
             if sick != (engine.health.level < Health.LOW):
                 self.transport.log(f"engine {engine.entry.name} {'back in use' if sick else 'held back'}")
             if engine.health.level >= 1.0 and not engine.ledger.running:
                 del self._looked_after[engine.entry.engine]
+        silent = now - self.allowed.notes_every - Health.QUIET
+        if self.allowed.notes_every and self.allowed.cancel and not stalled:  # else it is done, and its answer lost
+            for batch, dispatch in list(self.out.values()):
+                if batch.sends[dispatch].heard < silent:
+                    self.transport.cancel(batch.arrival.index, dispatch)
         self.line.serve(self.admit)
         few = self.allowed.peers and 1 < self._place.gateways <= self.FEW
         if few and now - self._needs[self._place.number][0] >= self.SIGN:
@@ -623,10 +657,11 @@
         engine.heard(self.transport.now, report, max(1.0, self.pool.threads / max(1, self.pool.running)))
         self._usual += (engine.told - self._usual) / 20  # reports that it averages
 
-    def learn(self, batch: Batch, work: int, memory: float, lasted: int) -> None:
+    def learn(self, batch: Batch, engine: Engine, work: int, memory: float, lasted: int) -> None:
         now, arrival = self.transport.now, batch.arrival
         if work:
             self.pace.learn(now, arrival.group, arrival.cost, work, lasted)
+            engine.health.ran(engine.ramp.share(now) * lasted * batch.group.threads / work, 1.0)
         if memory:
             self._peaks.learn(now, arrival.group, arrival.tables, arrival.memory, memory)
         if batch.group.is_load and lasted:
@@ -635,10 +670,25 @@
     def worth_more(self, batch: Batch) -> bool:  # whether another dispatch may go, and could earn something
         now, arrival = self.transport.now, batch.arrival
         until = arrival.time_limit - self._margin if batch.group.late_utility else batch.goal_at
-        return (len(batch.sends) < self.allowed.most_dispatches and self._ration.allows(now)
+        return (len(batch.sends) < self.allowed.most_dispatches
+                and self._ration.allows(now, self._claim(batch))
                 and now + self.pace.run(now, arrival.group, arrival.cost) / 2 < until
                 and now < batch.allowed_until() and any(True for _ in self._kept(batch.bound_to())))
 
+    def _claim(self, batch: Batch) -> float:  # on the ration: that of the least worth leaves some to the rest
+        return self.LEAST_CLAIM if batch.group.utility <= self._stake else 1.0
+
+    def progressed(self, batch: Batch, dispatch: int, lasted: int, share: float) -> None:
+        """Ends a dispatch that another would overtake by far, or whose batch would not be answered in time:
+        it had a bad plan, or its engine is far slower than the rest. `ended` decides what follows."""
+        now, arrival = self.transport.now, batch.arrival
+        run, left = self.pace.run(now, arrival.group, arrival.cost), lasted * (1.0 - share) / share
+        health, ramp = batch.sends[dispatch].engine.health, batch.sends[dispatch].engine.ramp
+        health.ran(ramp.share(now) * lasted / share / self.pace.alone(arrival.group, arrival.cost), 0.5)
+        far = left > self.FAR * len(batch.sends) * run and self.worth_more(batch)
+        if self.allowed.cancel and (far or now + left > arrival.time_limit):
+            self.transport.cancel(arrival.index, dispatch)
+
     def give_up(self, batch: Batch) -> None:  # the final answer, at once
         batch.over = True
         if batch.harmless():
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -114,7 +114,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Allowances:
-    """What this gateway may do, as told."""
+    """What this gateway may do, and what it hears, as told. `notes_every`: the time between notes of progress
+    of a dispatch, 0: none."""
 
     most_dispatches: int
     cancel: bool
@@ -127,6 +128,7 @@
     most_grant: float
     priorities: bool
     tells_cost: bool
+    notes_every: int
     shortage: Shortage
     on_request: bool
 
--- a/vanerelay/terms.py
+++ b/vanerelay/terms.py
@@ -96,6 +96,7 @@
         most_grant=float(info.get("grantCap") or 1.0),
         priorities=bool(info.get("lanesCount")),
         tells_cost=bool(info.get("bills")),
+        notes_every=up(info.get("progressUs") or 0),
         shortage=SHORTAGES[info.get("memoryShort") or "queue"],
         on_request=profile.get("discovery") == "on_request",
     )
