Engines kept grow with batches running; what comes to a gateway is lent where runs are quick

At fault: Gateway._kept gave it eight of 32 engines; Engine.ours lent by busy cores alone, and nothing without reports.

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -154,6 +154,7 @@
     MEMORY = 20 * SECOND  # of errors, as few gateways hear of an engine often; a trial returned clears it
     RISE = 0.5  # most that the level may recover in a second
     LOW = 0.15  # under this an engine gets one trial batch at a time
+    QUICK, CROWDED = math.log(1.2), math.log(2.0)  # slowdown at which others crowd, and up to where none is lent
     RUNS, SLACK = 6, math.log(1.5)  # runs that its pace averages; how much slower than usual is no sign
 
     def __init__(self) -> None:
@@ -185,6 +186,9 @@
         part = weight if self.level < self.LOW or not self.paced else weight / self.RUNS
         self.pace, self.paced = self.pace + (math.log(max(slowdown, 0.1)) - self.pace) * part, True
 
+    def room(self) -> float:  # from 1 where batches run about as fast as alone to 0 where they crowd each other
+        return min(1.0, max(0.0, 1.0 - (self.pace - self.QUICK) / self.CROWDED))
+
     def faults(self, now: int) -> float:
         return self._ring.total(now, 1) / (self._ring.total(now, 0) + 1.0)
 
@@ -222,8 +226,8 @@
         aged = usual + (self.told - usual) * math.exp((self._told_at - now) / self.AGED)
         return max(aged, self.proxied if now - self.proxied_at < self.PROXIED else 0.0)
 
-    def ours(self, now: int, usual: float, part: float) -> float:  # what our grants may fill: our part and up
-        lent = self.LEND * (1.0 - part) - self.others(now, usual)
+    def ours(self, now: int, usual: float, part: float, wanted: float) -> float:  # our part and up
+        lent = max(self.LEND * (1.0 - part) - self.others(now, usual), wanted * self.health.room())
         return self.level(now) * min(1.0, self.entry.weight) * max(part, lent)
 
 
@@ -410,6 +414,7 @@
 
 class Gateway:
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
+    LATELY = 3 * SECOND  # departure: where no messages tell, slices go by the work that comes, 1/n at least
     FAR = 4.0  # times its usual run, and again for each further dispatch: estimates miss by 3 in one of twenty
     LEAST_CLAIM = 0.5  # part of the ration
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
@@ -433,6 +438,7 @@
         self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
         self._off = dict[int, Engine]()  # engines that are not listed, kept while they hold some of ours
         self.pool, self._usual, self._rank, self._slice = Ledger(0.0, 0), 1.0, 0, 1.0 / place.gateways
+        self._offered, self._wanted = Ring(self.LATELY, 1), 0.0  # work that came lately
         self._kept_part = 1.0  # of our slices: departure, the rest is handed to proxies
         self._needs, self._beat_at, self._born = {place.number: (NEVER, 0.0)}, transport.now, transport.now
         self._stake = min((g.utility for g in groups if g.effect is Effect.REPEATABLE), default=0.0)
@@ -489,7 +495,7 @@
 
     def _kept(self, bounds: Bounds) -> Iterator[Engine]:  # the first of use in our order, and the sick passed
         sound, now = 0, self.transport.now
-        most = max(self.KEPT, self.COVER * len(self._order) / self._place.gateways)
+        most = max(self.KEPT, self.COVER * len(self._order) / self._place.gateways, self.pool.running)
         if bounds not in self._within:
             if len(self._within) >= self.WITHIN:
                 self._within.clear()
@@ -505,6 +511,7 @@
         now, group, self._rank = self.transport.now, self._groups[arrival.group], self._rank + 1
         batch = Batch(self, arrival, group, self._rank)
         self._ration.ring.add(now, 1, 0)
+        self._offered.add(now, self.pace.weight(arrival.group, arrival.cost))
         work = self.pace.work(arrival.group, arrival.cost)
         if not self._door.admits(group.utility, work) or arrival.time_limit <= now + self._margin:
             self.give_up(batch)
@@ -527,7 +534,7 @@
         # One that runs none of ours may take it too, while all our grants keep to our part of the fleet.
         own = self._slice * self._kept_part
         pooled = not self.pool.running or self.pool.fits(holds, threads, own)
-        parts = [(e.ours(now, usual, own), e) for e in able]
+        parts = [(e.ours(now, usual, own, self._wanted), e) for e in able]
         fitting = [e for part, e in parts
                    if e.ledger.fits(holds, threads, part) or pooled and not e.ledger.running]
         if not fitting:
@@ -602,12 +609,17 @@
                     self.transport.cancel(batch.arrival.index, dispatch)
         self.line.serve(self.admit)
         few = self.allowed.peers and 1 < self._place.gateways <= self.FEW
-        if few and now - self._needs[self._place.number][0] >= self.SIGN:
+        if few and now - self._needs[self._place.number][0] < self.SIGN:
+            pass
+        elif few:
             own = 1.0 + self._ration.ring.total(now, 0) / min(1.0, (now - self._born + SECOND) / self.SPAN)
             self._needs[self._place.number] = now, own
             there = [need for at, need in self._needs.values() if stalled or now - at <= self.AWAY]
             self._slice = own / (sum(there) + own * (self._place.gateways - len(self._needs)))
             self.transport.tell(None, int(own).to_bytes(4, "big"))
+        else:
+            fleet = max(1.0, self.pool.cores * Ledger.WIDTH / 2.0)
+            self._wanted = min(1.0, self._offered.total(now, 0) / self.LATELY / fleet)
         self._door.look(0 if stalled else self.line.wait(now))
         while self._limits and self._limits[0][0] <= now:
             batch = heapq.heappop(self._limits)[1]
