--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -32,7 +32,7 @@
     KEPT, RUNS = 30 * SECOND, 20  # how long an entry lasts, and the runs that it averages
 
     def __init__(self, groups: int, pages: bool = False) -> None:
-        self._pages = pages  # departure: a grant past the need takes nothing there, so its margin is twice as wide
+        self._pages = pages  # departure: a grant past the need takes nothing there, so its margin is wider
         self._shapes: dict[tuple[int, int], tuple[float, int, int]] = {}  # offset, runs, until
         self._told = [Estimate(ANSWERS, FAITH) for _ in range(groups)]
 
@@ -43,7 +43,7 @@
         return min(cap, bucket) if told or estimate.seen else 0.0
 
     def holds(self, now: int, group: int, tables: int, told: float, grant: float) -> float:
-        """What a grant takes of an engine: all of it, or the peak to expect where only what is used counts."""
+        """What a grant takes of an engine: all, or the peak to expect where only what is used counts."""
         mean = self._log(now, group, tables, told) + self._told[group].spread() ** 2 / 2
         return min(grant, math.exp(mean)) if self._pages else grant
 
@@ -154,7 +154,7 @@
     MEMORY = 20 * SECOND  # of errors, as few gateways hear of an engine often; a trial returned clears it
     RISE = 0.5  # most that the level may recover in a second
     LOW = 0.15  # under this an engine gets one trial batch at a time
-    QUICK, CROWDED = math.log(1.2), math.log(2.0)  # slowdown at which others crowd, and up to where none is lent
+    QUICK, CROWDED = math.log(1.2), math.log(2.0)  # slowdown where they crowd, and up to nothing lent
     RUNS, SLACK = 6, math.log(1.5)  # runs that its pace averages; how much slower than usual is no sign
 
     def __init__(self) -> None:
@@ -186,8 +186,8 @@
         part = weight if self.level < self.LOW or not self.paced else weight / self.RUNS
         self.pace, self.paced = self.pace + (math.log(max(slowdown, 0.1)) - self.pace) * part, True
 
-    def room(self) -> float:  # from 1 where batches run about as fast as alone to 0 where they crowd each other
-        return min(1.0, max(0.0, 1.0 - (self.pace - self.QUICK) / self.CROWDED))
+    def room(self) -> float:  # 1 where batches run about as fast as alone, 0 where they crowd, or none ran
+        return min(1.0, max(0.0, 1.0 - (self.pace - self.QUICK) / self.CROWDED)) if self.paced else 0.0
 
     def faults(self, now: int) -> float:
         return self._ring.total(now, 1) / (self._ring.total(now, 0) + 1.0)
@@ -226,7 +226,7 @@
         aged = usual + (self.told - usual) * math.exp((self._told_at - now) / self.AGED)
         return max(aged, self.proxied if now - self.proxied_at < self.PROXIED else 0.0)
 
-    def ours(self, now: int, usual: float, part: float, wanted: float) -> float:  # our part and up
+    def ours(self, now: int, usual: float, part: float, wanted: float = 0.0) -> float:
         lent = max(self.LEND * (1.0 - part) - self.others(now, usual), wanted * self.health.room())
         return self.level(now) * min(1.0, self.entry.weight) * max(part, lent)
 
@@ -415,7 +415,7 @@
 class Gateway:
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
     LATELY = 3 * SECOND  # departure: where no messages tell, slices go by the work that comes, 1/n at least
-    FAR = 4.0  # times its usual run, and again for each further dispatch: estimates miss by 3 in one of twenty
+    FAR = 4.0  # times its usual run, and again for each further dispatch: estimates miss by 3
     LEAST_CLAIM = 0.5  # part of the ration
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
     WITHIN = 64  # bounds whose engines are kept in order apart
@@ -603,7 +603,7 @@
             if engine.health.level >= 1.0 and not engine.ledger.running:
                 del self._looked_after[engine.entry.engine]
         silent = now - self.allowed.notes_every - Health.QUIET
-        if self.allowed.notes_every and self.allowed.cancel and not stalled:  # else it is done, and its answer lost
+        if self.allowed.notes_every and self.allowed.cancel and not stalled:  # it is done, its answer lost
             for batch, dispatch in list(self.out.values()):
                 if batch.sends[dispatch].heard < silent:
                     self.transport.cancel(batch.arrival.index, dispatch)
