Table groups lean to engines likely to hold them warm; loads apart only where others wait

Ruled out: leaning loads too; they stand still behind loads of their table group. Change: Picker._apart scatters a table group over the engines, the same at every gateway; what is for waiting acts where some group waits.

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -210,6 +210,7 @@
     def __init__(self, entry: EngineEntry, kind: MachineKind, ramp: Ramp) -> None:
         self.entry, self.health, self.listed, self.ramp = entry, Health(), False, ramp
         self.ledger, self.told, self._told_at = Ledger(kind.memory, kind.cores), 1.0, NEVER  # told of others
+        self.homes = dict[int, float]()  # how far each table group leans to it
         self.pooled = 0.0  # the part of it that counts in the pool, while it is listed
         self.proxied, self.proxied_at = 0.0, NEVER  # held by proxies that we hand engines to, as they told
 
@@ -235,9 +236,12 @@
     """Draws among engines that fit, less loaded and sounder ones rather: one that fails reports no load."""
 
     SHARP, APART, NEAR = 6.0, 0.02, 1.5  # APART: where loads of the table group are met; NEAR: close to us
+    GROUPS = 512  # table groups whose lean an engine keeps
+    HOME = 16.0  # most that a table group leans to one engine, where it is likely to be warm
 
-    def __init__(self, chance: random.Random, location: int) -> None:
+    def __init__(self, chance: random.Random, location: int, waits: bool) -> None:
         self._chance, self._here, self.names = chance, location, list[str]()  # all names listed, in order
+        self._waits = waits  # whether any service group waits for loads
 
     def draw(self, now: int, engines: Sequence[Engine], batch: Batch, usual: float) -> Engine:
         weights = []
@@ -251,8 +255,17 @@
         return self._chance.choices(engines, weights)[0]
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
-        """Loads of a table group lean to every other engine by name, what would wait for them to the rest."""
+        """Loads of a table group lean to every other engine by name, what would wait for them to the rest.
+        Departure: what meets no loads leans to engines that the table group's number scatters, the same ones
+        at every gateway, since an engine reads faster what it read lately."""
         if not batch.group.meets_loads():
+            if batch.arrival.tables not in engine.homes:
+                if len(engine.homes) >= self.GROUPS:
+                    engine.homes.clear()
+                part = scatter(engine.entry.name, batch.arrival.tables) / 2.0**64
+                engine.homes[batch.arrival.tables] = min(self.HOME, 1.0 / max(1e-9, 1.0 - part))
+            return engine.homes[batch.arrival.tables]
+        if not self._waits:
             return 1.0
         home = (bisect_left(self.names, engine.entry.name) + batch.arrival.tables) % 2 == 1
         return 1.0 if batch.group.is_load == home else self.APART
@@ -347,7 +360,7 @@
 
     def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, rank: int) -> None:
         self._gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
-        self.threads = group.threads * (0.5 if group.meets_loads() else 1.0)  # behind a load it uses no core
+        self.threads = group.threads * (0.5 if gateway.waits and group.meets_loads() else 1.0)  # behind a load it uses no core
         self.key = arrival.key if group.in_order else None
         self.sends, self.held, self.over = list[Dispatch](), False, False
         self.taken = self.held_since = now = gateway.transport.now
@@ -428,10 +441,11 @@
                  ration: RationTerms, order_pause: int, tick: int) -> None:
         self.transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
         self.allowed, self._cold, self._margin = allowed, cold, 2 * tick + BEAT + 1  # before a time limit
+        self.waits = any(group.waits_for_loads for group in groups)
         self._peaks = Peaks(len(groups), allowed.shortage is Shortage.PAGE)
         self.pace, self._ration = Pace(groups), Ration(ration)
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
-        self._picker, self._limits = Picker(random.Random(seed), place.location), list[tuple[int, Batch]]()
+        self._picker, self._limits = Picker(random.Random(seed), place.location, self.waits), list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
         self._within = dict[Bounds, list[tuple[int, str, Engine]]]()  # the same, by the bounds asked for
         self.out = dict[int, tuple[Batch, int]]()  # all dispatches that are out
