Settings are checked and switched while running; table groups lean where nobody waits

Program: vanerelay/checks.py names the first wrong setting in one line at check, start (exit 2) and SIGHUP (nothing changes); Gateway.succeed takes over under other settings, the old one ends what it took (tests/test_move.py, module and loopback).

--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -1,7 +1,5 @@
-"""Every decision of vanerelay: what runs, where, with how much memory, and what is given up.
-
-A Gateway is handed every change of the list of engines, and every batch (take, which gives its handle, a
-Batch). It answers through the Transport of vanerelay/interface.py, where all types are."""
+"""Every decision of vanerelay: what runs, where, with how much memory, and what is given up. A Gateway is
+handed each change of the list and each batch (take); it answers through the Transport of interface.py."""
 from __future__ import annotations
 
 import heapq
@@ -34,30 +32,29 @@
     def __init__(self, groups: int, pages: bool = False) -> None:
         self._pages = pages  # departure: a grant past the need takes nothing there, so its margin is wider
         self._shapes: dict[tuple[int, int], tuple[float, int, int]] = {}  # offset, runs, until
-        self._told = [Estimate(ANSWERS, FAITH) for _ in range(groups)]
+        self.told = [Estimate(ANSWERS, FAITH) for _ in range(groups)]
 
     def size(self, now: int, group: int, tables: int, told: float, cap: float) -> float:
-        estimate, margin = self._told[group], max(math.log(self.MARGIN), self._told[group].spread())
+        estimate, margin = self.told[group], max(math.log(self.MARGIN), self.told[group].spread())
         wanted = self._log(now, group, tables, told) + margin * (1.0 + self._pages)
         bucket = math.exp(self.STEP * math.ceil(wanted / self.STEP - 1e-9))
         return min(cap, bucket) if told or estimate.seen else 0.0
 
-    def holds(self, now: int, group: int, tables: int, told: float, grant: float) -> float:
-        """What a grant takes of an engine: all, or the peak to expect where only what is used counts."""
-        mean = self._log(now, group, tables, told) + self._told[group].spread() ** 2 / 2
+    def holds(self, now: int, group: int, tables: int, told: float, grant: float) -> float:  # of an engine
+        mean = self._log(now, group, tables, told) + self.told[group].spread() ** 2 / 2
         return min(grant, math.exp(mean)) if self._pages else grant
 
     def _log(self, now: int, group: int, tables: int, told: float) -> float:
         offset, _, until = self._shapes.get((group, tables), (0.0, 0, 0))
-        return self._told[group].log(told) + (offset if until > now else 0.0)
+        return self.told[group].log(told) + (offset if until > now else 0.0)
 
     def learn(self, now: int, group: int, tables: int, told: float, peak: float) -> None:
         offset, runs, until = self._shapes.get((group, tables), (0.0, 0, 0))
         runs = runs + 1 if until > now else 1
-        miss = math.log(max(peak, 1.0)) - self._told[group].log(told) if self._told[group].seen else 0.0
+        miss = math.log(max(peak, 1.0)) - self.told[group].log(told) if self.told[group].seen else 0.0
         offset += (miss - offset) / min(runs + 2, self.RUNS)
         self._shapes[group, tables] = (offset, runs, now + self.KEPT)
-        self._told[group].learn(told, peak)
+        self.told[group].learn(told, peak)
 
     def loaded(self, tables: int) -> None:
         self._shapes = {key: shape for key, shape in self._shapes.items() if key[1] != tables}
@@ -67,21 +64,21 @@
     """What batches cost and how long they run, by service group, learned from answers."""
 
     def __init__(self, groups: Sequence[ServiceGroup]) -> None:
-        self._groups, self._told = groups, [Estimate(ANSWERS, FAITH) for _ in groups]
-        self._ran = [Ring(20 * SECOND, 2) for _ in groups]  # lasted, ideal
+        self._groups, self.told = groups, [Estimate(ANSWERS, FAITH) for _ in groups]
+        self.ran = [Ring(20 * SECOND, 2) for _ in groups]  # lasted, ideal
 
     def learn(self, now: int, group: int, told: int, work: int, lasted: int) -> None:
-        self._told[group].learn(told, work)
-        self._ran[group].add(now, lasted, work / self._groups[group].threads)
+        self.told[group].learn(told, work)
+        self.ran[group].add(now, lasted, work / self._groups[group].threads)
 
     def work(self, group: int, told: int) -> float:
-        return self._told[group].value(told) or self._groups[group].goal / 4
+        return self.told[group].value(told) or self._groups[group].goal / 4
 
     def weight(self, group: int, told: int) -> float:
-        return max(self.work(group, told), self._told[group].mean())
+        return max(self.work(group, told), self.told[group].mean())
 
     def run(self, now: int, group: int, told: int) -> float:
-        slowdown = (self._ran[group].total(now, 0) + 1) / (self._ran[group].total(now, 1) + 1)
+        slowdown = (self.ran[group].total(now, 0) + 1) / (self.ran[group].total(now, 1) + 1)
         return self.alone(group, told) * max(1.5, slowdown)
 
     def alone(self, group: int, told: int) -> float:
@@ -193,8 +190,7 @@
         return self._ring.total(now, 1) / (self._ring.total(now, 0) + 1.0)
 
     def look(self, now: int, usual: float, pace: float) -> None:
-        # Departure: what fails at most engines alike is laid to batches or the network, not to any of them.
-        target = (1.0 - max(0.0, self.faults(now) - usual) / (1.0 - usual)) ** 3
+        target = (1.0 - max(0.0, self.faults(now) - usual) / (1.0 - usual)) ** 3  # beside the usual
         target *= min(1.0, math.exp(pace + self.SLACK - self.pace))
         overdue = sum(weight * ((now - sent) // patience) for sent, patience, weight in self._out.values())
         if self.lost or self._missed + overdue >= self.OVERDUE and now - self._heard > self.QUIET:
@@ -210,10 +206,15 @@
     def __init__(self, entry: EngineEntry, kind: MachineKind, ramp: Ramp) -> None:
         self.entry, self.health, self.listed, self.ramp = entry, Health(), False, ramp
         self.ledger, self.told, self._told_at = Ledger(kind.memory, kind.cores), 1.0, NEVER  # told of others
-        self.homes = dict[int, float]()  # how far each table group leans to it
         self.pooled = 0.0  # the part of it that counts in the pool, while it is listed
         self.proxied, self.proxied_at = 0.0, NEVER  # held by proxies that we hand engines to, as they told
 
+    def inherit(self, now: int, was: Engine) -> None:  # it goes on, by the same figures
+        self.ramp.sent.add(now, was.ramp.sent.total(now, 0))
+        self.health, was.ramp = was.health, self.ramp
+        if (self.ledger.memory, self.ledger.cores) == (was.ledger.memory, was.ledger.cores):
+            self.ledger = was.ledger
+
     def level(self, now: int) -> float:
         return self.health.level * self.ramp.share(now)
 
@@ -235,13 +236,11 @@
 class Picker:
     """Draws among engines that fit, less loaded and sounder ones rather: one that fails reports no load."""
 
-    SHARP, APART, NEAR = 6.0, 0.02, 1.5  # APART: where loads of the table group are met; NEAR: close to us
-    GROUPS = 512  # table groups whose lean an engine keeps
-    HOME = 16.0  # most that a table group leans to one engine, where it is likely to be warm
+    SHARP, APART, NEAR, HOME = 6.0, 0.02, 1.5, 16.0  # APART: loads of the table group; HOME: likely warm
 
-    def __init__(self, chance: random.Random, location: int, waits: bool) -> None:
-        self._chance, self._here, self.names = chance, location, list[str]()  # all names listed, in order
-        self._waits = waits  # whether any service group waits for loads
+    def __init__(self, chance: random.Random, location: int, waits: bool) -> None:  # waits for loads
+        self._chance, self._here, self._waits = chance, location, waits
+        self.names = list[str]()  # all that are listed, in order
 
     def draw(self, now: int, engines: Sequence[Engine], batch: Batch, usual: float) -> Engine:
         weights = []
@@ -256,16 +255,13 @@
 
     def _apart(self, engine: Engine, batch: Batch) -> float:
         """Loads of a table group lean to every other engine by name, what would wait for them to the rest.
-        Departure: what meets no loads leans to engines that the table group's number scatters, the same ones
-        at every gateway, since an engine reads faster what it read lately."""
-        if not batch.group.meets_loads():
-            if batch.arrival.tables not in engine.homes:
-                if len(engine.homes) >= self.GROUPS:
-                    engine.homes.clear()
-                part = scatter(engine.entry.name, batch.arrival.tables) / 2.0**64
-                engine.homes[batch.arrival.tables] = min(self.HOME, 1.0 / max(1e-9, 1.0 - part))
-            return engine.homes[batch.arrival.tables]
+        Departure: where nobody waits, all but loads lean to engines that the table group's number scatters,
+        the same ones at every gateway, since an engine reads faster what it read lately."""
         if not self._waits:
+            leans = batch.arrival.tables and not batch.group.is_load
+            part = scatter(engine.entry.name, batch.arrival.tables) / 2.0**64 if leans else 0.0
+            return min(self.HOME, 1.0 / max(1e-9, 1.0 - part))
+        if not batch.group.meets_loads():
             return 1.0
         home = (bisect_left(self.names, engine.entry.name) + batch.arrival.tables) % 2 == 1
         return 1.0 if batch.group.is_load == home else self.APART
@@ -293,28 +289,29 @@
 
 
 class Ration:  # rule 7: dispatches beyond each batch's first, in any window
+    LITTLE = 0.5  # part of it that batches of the least worth may use up
 
     def __init__(self, terms: RationTerms) -> None:
-        self._terms, self.ring = terms, Ring(terms.span or 10 * SECOND, 2, 50)  # taken, further dispatches
+        self.terms, self.ring = terms, Ring(terms.span or 10 * SECOND, 2, 50)  # taken, further dispatches
 
-    def allows(self, now: int, part: float = 1.0) -> bool:
-        most = self._terms.free + self._terms.share * self.ring.total(now, 0, short=True)
-        return not self._terms.span or self.ring.total(now, 1) + 1 <= most * part
+    def allows(self, now: int, little: bool = False) -> bool:
+        most = self.terms.free + self.terms.share * self.ring.total(now, 0, short=True)
+        return not self.terms.span or self.ring.total(now, 1) + 1 <= most * (self.LITTLE if little else 1.0)
 
 
 class Turns:
     """Rule 5: batches of one key run one at a time, in the order taken."""
 
     def __init__(self, pause: int) -> None:
-        self._pause, self._rests = pause, dict[int, int]()
+        self._pause, self.rests = pause, dict[int, int]()
         self.queues: defaultdict[int, deque[Batch]] = defaultdict(deque)
 
     def unsure(self, now: int, key: int) -> None:
-        self._rests = {other: until for other, until in self._rests.items() if until > now}
-        self._rests[key] = now + self._pause + 1
+        self.rests = {other: until for other, until in self.rests.items() if until > now}
+        self.rests[key] = now + self._pause + 1
 
     def next(self, now: int, key: int) -> tuple[Batch | None, int]:  # whose turn it is, and its rest still
-        queue, rest = self.queues[key], max(0, self._rests.get(key, 0) - now)
+        queue, rest = self.queues[key], max(0, self.rests.get(key, 0) - now)
         while queue and queue[0].over and not queue[0].out():
             queue.popleft()
         if not queue:
@@ -359,8 +356,9 @@
     """The handle of one batch: all that happens to it after it was taken is a call here."""
 
     def __init__(self, gateway: Gateway, arrival: Arrival, group: ServiceGroup, rank: int) -> None:
-        self._gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
-        self.threads = group.threads * (0.5 if gateway.waits and group.meets_loads() else 1.0)  # behind a load it uses no core
+        self.gateway, self.arrival, self.group, self.rank = gateway, arrival, group, rank
+        self.threads = group.threads * (0.5 if gateway.waits and group.meets_loads() else 1.0)  # stands still
+        self.little = group.effect is Effect.REPEATABLE and group.utility <= gateway.stake
         self.key = arrival.key if group.in_order else None
         self.sends, self.held, self.over = list[Dispatch](), False, False
         self.taken = self.held_since = now = gateway.transport.now
@@ -392,7 +390,7 @@
 
     def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
               report: LoadReport | None) -> None:
-        gateway, send, now = self._gateway, self.sends[dispatch], self._gateway.transport.now
+        gateway, send, now = self.gateway, self.sends[dispatch], self.gateway.transport.now
         send.out, send.ran, self.over = False, outcome not in NEVER_RAN, self.over or over
         gateway.pool.change(-send.holds, -self.threads, -1)
         send.engine.ledger.change(-send.holds, -self.threads, -1)
@@ -411,30 +409,28 @@
         gateway.line.serve(gateway.admit)
 
     def noted(self, dispatch: int, kind: NoteKind, value: float) -> None:
-        send, now = self.sends[dispatch], self._gateway.transport.now
+        send, now = self.sends[dispatch], self.gateway.transport.now
         send.engine.health.heard(now)
         send.heard = now
-        self._gateway.learn(self, send.engine, 0, send.grant + value if kind is NoteKind.SPILL else 0.0, 0)
+        self.gateway.learn(self, send.engine, 0, send.grant + value if kind is NoteKind.SPILL else 0.0, 0)
         if kind is NoteKind.PROGRESS and value > 0.0 and send.out:
-            self._gateway.progressed(self, dispatch, now - send.sent, value)
+            self.gateway.progressed(self, dispatch, now - send.sent, value)
 
     def left(self) -> None:
         self.over = True
-        for dispatch in [n for n, send in enumerate(self.sends) if send.out and self._gateway.allowed.cancel]:
-            self._gateway.transport.cancel(self.arrival.index, dispatch)  # withdrawn by the hundred
-        self._gateway.finished(self)
+        for dispatch in [n for n, send in enumerate(self.sends) if send.out and self.gateway.allowed.cancel]:
+            self.gateway.transport.cancel(self.arrival.index, dispatch)  # withdrawn by the hundred
+        self.gateway.finished(self)
 
 
 class Gateway:
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
     LATELY = 3 * SECOND  # departure: where no messages tell, slices go by the work that comes, 1/n at least
     FAR = 4.0  # times its usual run, and again for each further dispatch: estimates miss by 3
-    LEAST_CLAIM = 0.5  # part of the ration
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
     WITHIN = 64  # bounds whose engines are kept in order apart
     KEPT, COVER, TRIERS = 8, 4, 3  # engines kept; gateways that keep each; those that try a sick one a second
-    # Departure: a few gateways tell each other how much comes to them; slices go by that, none for one away.
-    FEW, SIGN, AWAY, SPAN = 8, 200 * MILLISECOND, SECOND, 10 * SECOND  # silent for so long; counted over
+    FEW, SIGN, AWAY, SPAN = 8, 200 * MILLISECOND, SECOND, 10 * SECOND  # departure: a few tell what comes
 
     def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
                  kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
@@ -445,17 +441,18 @@
         self._peaks = Peaks(len(groups), allowed.shortage is Shortage.PAGE)
         self.pace, self._ration = Pace(groups), Ration(ration)
         self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
-        self._picker, self._limits = Picker(random.Random(seed), place.location, self.waits), list[tuple[int, Batch]]()
+        self._picker = Picker(random.Random(seed), place.location, self.waits)
+        self._limits = list[tuple[int, Batch]]()
         self._order = list[tuple[int, str, Engine]]()  # the listed engines, as this gateway prefers them
         self._within = dict[Bounds, list[tuple[int, str, Engine]]]()  # the same, by the bounds asked for
         self.out = dict[int, tuple[Batch, int]]()  # all dispatches that are out
         self._engines, self._looked_after = dict[int, Engine](), dict[int, Engine]()  # health may change
         self._off = dict[int, Engine]()  # engines that are not listed, kept while they hold some of ours
         self.pool, self._usual, self._rank, self._slice = Ledger(0.0, 0), 1.0, 0, 1.0 / place.gateways
-        self._offered, self._wanted = Ring(self.LATELY, 1), 0.0  # work that came lately
-        self._kept_part = 1.0  # of our slices: departure, the rest is handed to proxies
+        self.notes, self._retired, self._before = False, False, dict[str, Engine]()  # notes came; see succeed
+        self._kept_part, self._offered, self._wanted = 1.0, Ring(self.LATELY, 1), 0.0  # the rest is proxies'
         self._needs, self._beat_at, self._born = {place.number: (NEVER, 0.0)}, transport.now, transport.now
-        self._stake = min((g.utility for g in groups if g.effect is Effect.REPEATABLE), default=0.0)
+        self.stake = min((g.utility for g in groups if g.effect is Effect.REPEATABLE), default=0.0)
         transport.call_later(BEAT, self._beat)
         if allowed.on_request:
             transport.subscribe()
@@ -469,7 +466,9 @@
                 kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
                 large = max(group.goal * group.threads for group in self._groups) / 8
                 ramp = Ramp(self._cold, entry.name, kind.cores, self._place, large)
-                self._engines[entry.engine] = self._off[entry.engine] = Engine(entry, kind, ramp)
+                engine = self._engines[entry.engine] = self._off[entry.engine] = Engine(entry, kind, ramp)
+                if entry.name in self._before:
+                    engine.inherit(self.transport.now, self._before.pop(entry.name))
             engine = self._engines[entry.engine]
             if entry.started > engine.ramp.began:
                 engine.ramp.restart(entry.started)
@@ -540,13 +539,13 @@
         now, arrival, threads, usual = self.transport.now, batch.arrival, batch.threads, self._usual
         weight = self.pace.weight(arrival.group, arrival.cost)
         able = [e for e in self._kept(batch.bound_to()) if self._able(now, batch, e, weight)]
-        if not able or batch.sends and not self._ration.allows(now, self._claim(batch)):
+        if not able or batch.sends and not self._ration.allows(now, batch.little):
             return False
         cap = min(e.ledger.memory for e in able) * min(1.0 / 3.0, self.allowed.most_grant)
         grant = self._peaks.size(now, arrival.group, arrival.tables, arrival.memory, cap)
         holds = self._peaks.holds(now, arrival.group, arrival.tables, arrival.memory, grant)
-        # One that runs none of ours may take it too, while all our grants keep to our part of the fleet.
         own = self._slice * self._kept_part
+        # One that runs none of ours may take it too, while all our grants keep to our part of the fleet.
         pooled = not self.pool.running or self.pool.fits(holds, threads, own)
         parts = [(e.ours(now, usual, own, self._wanted), e) for e in able]
         fitting = [e for part, e in parts
@@ -582,8 +581,7 @@
         if engine.health.level >= Health.LOW:
             return True
         keepers = max(1.0, self._place.gateways * min(1.0, self.KEPT / len(self._order)) / self.TRIERS)
-        little = batch.group.effect is Effect.REPEATABLE and batch.group.utility <= self._stake
-        return little and not engine.ledger.running and now - engine.health.tried >= SECOND * keepers
+        return batch.little and not engine.ledger.running and now - engine.health.tried >= SECOND * keepers
 
     def _time_out(self, now: int, batch: Batch, run: float) -> int:
         """Until the limit, unless an early end would be conclusive and leave time for another dispatch."""
@@ -617,66 +615,72 @@
             if engine.health.level >= 1.0 and not engine.ledger.running:
                 del self._looked_after[engine.entry.engine]
         silent = now - self.allowed.notes_every - Health.QUIET
-        if self.allowed.notes_every and self.allowed.cancel and not stalled:  # it is done, its answer lost
-            for batch, dispatch in list(self.out.values()):
-                if batch.sends[dispatch].heard < silent:
-                    self.transport.cancel(batch.arrival.index, dispatch)
+        for batch, dispatch in list(self.out.values()) if self.notes and self.allowed.cancel else ():
+            if batch.sends[dispatch].heard < silent and not stalled:  # it is done, and its answer lost
+                self.transport.cancel(batch.arrival.index, dispatch)
         self.line.serve(self.admit)
         few = self.allowed.peers and 1 < self._place.gateways <= self.FEW
-        if few and now - self._needs[self._place.number][0] < self.SIGN:
-            pass
-        elif few:
+        if not few:
+            fleet = max(1.0, self.pool.cores * Ledger.WIDTH / 2.0)
+            self._wanted = min(1.0, self._offered.total(now, 0) / self.LATELY / fleet)
+        elif now - self._needs[self._place.number][0] >= self.SIGN:
             own = 1.0 + self._ration.ring.total(now, 0) / min(1.0, (now - self._born + SECOND) / self.SPAN)
             self._needs[self._place.number] = now, own
             there = [need for at, need in self._needs.values() if stalled or now - at <= self.AWAY]
             self._slice = own / (sum(there) + own * (self._place.gateways - len(self._needs)))
             self.transport.tell(None, int(own).to_bytes(4, "big"))
-        else:
-            fleet = max(1.0, self.pool.cores * Ledger.WIDTH / 2.0)
-            self._wanted = min(1.0, self._offered.total(now, 0) / self.LATELY / fleet)
         self._door.look(0 if stalled else self.line.wait(now))
         while self._limits and self._limits[0][0] <= now:
             batch = heapq.heappop(self._limits)[1]
             if batch.held and batch.give_up_at <= now:
                 self.give_up(batch)
-        self.transport.call_later(BEAT, self._beat)
+        if not self.done():
+            self.transport.call_later(BEAT, self._beat)
+
+    def done(self) -> bool:  # succeeded by another, and all that it took has ended
+        return self._retired and not self.out and not self._limits
+
+    def succeed(self, old: Gateway) -> None:
+        """Takes over under other settings; the old one ends what it took. Kept: the engines' health, our
+        grants where the kind stays, what cold ones were sent; turns; a ration of the same span; what groups
+        of the same name and threads need. Afresh: slices, loads told, peaks by tables, door and line."""
+        self._before, old._retired = {e.entry.name: e for e in old._engines.values()}, True
+        self.turns.queues, self.turns.rests, self.notes = old.turns.queues, old.turns.rests, old.notes
+        if self._ration.terms.span == old._ration.terms.span:
+            self._ration.ring = old._ration.ring
+        rows = {(group.name, group.threads): row for row, group in enumerate(old._groups)}
+        for row, group in enumerate(self._groups):
+            if (was := rows.get((group.name, group.threads))) is not None:
+                self._peaks.told[row] = old._peaks.told[was]
+                self.pace.told[row], self.pace.ran[row] = old.pace.told[was], old.pace.ran[was]
+        self.listed([e.entry for e in old._engines.values() if e.listed], True)
 
     def heard_from(self, gateway: int, need: bytes) -> None:
         self._needs[gateway] = self.transport.now, float(int.from_bytes(need[:4], "big"))
 
     def conditions(self) -> list[Condition]:
         """How each listed engine is held, for those that hand our decisions on."""
-        now, found = self.transport.now, list[Condition]()
-        for _, _, e in self._order:
-            part = e.health.level * min(1.0, e.entry.weight) * self._slice
-            found.append(Condition(
-                e.entry, e.health.level, e.health.level >= Health.LOW, e.ramp.warm(now), e.ramp.mine(),
-                e.ramp.share(now), part, e.ledger.memory, e.ledger.cores))
-        return found
-
-    def hand(self, part: float) -> None:
-        """That part of our slices, and of our budgets of cold engines, goes to proxies; the rest is ours to
-        fill."""
+        now = self.transport.now
+        return [Condition(
+            e.entry, e.health.level, e.health.level >= Health.LOW, e.ramp.warm(now), e.ramp.mine(),
+            e.ramp.share(now), e.health.level * min(1.0, e.entry.weight) * self._slice, e.ledger.memory,
+            e.ledger.cores) for _, _, e in self._order]
+
+    def hand(self, part: float) -> None:  # of our slices and budgets of cold engines, to proxies
         self._kept_part = 1.0 - part
 
-    def proxied(self, engine: int, running: float, ended: float, errors: float) -> None:
-        """What proxies hold on an engine, and how many that they sent there ended, and with an error, since
-        the last."""
+    def proxied(self, engine: int, running: float, ended: float, errors: float) -> None:  # since last
         found, now = self._engines.get(engine), self.transport.now
         if found is not None:
             found.proxied, found.proxied_at = running / (found.ledger.cores * Ledger.WIDTH), now
             found.health.told(now, ended, errors)
             self._looked_after[engine] = found
 
-    def usual_grant(self, group: int) -> float:
-        """What a batch of a group is granted that tells no estimate and touches no known tables; 0:
-        unknown."""
+    def usual_grant(self, group: int) -> float:  # where nothing is told of a batch; 0: unknown
         return self._peaks.size(self.transport.now, group, -1, 0.0, math.inf)
 
-    def shed(self, group: int) -> float:
-        """The part of a group's batches that the door turns away at the moment: all but few, or none."""
-        group_of = self._groups[group]
-        low = group_of.utility / max(1.0, self.pace.weight(group, 0)) < self._door.bar
+    def shed(self, group: int) -> float:  # the part that the door turns away now: all but few, or none
+        low = self._groups[group].utility / max(1.0, self.pace.weight(group, 0)) < self._door.bar
         return self._door.share if low else 0.0
 
     def heard(self, engine: Engine, report: LoadReport | None) -> None:
@@ -696,21 +700,18 @@
     def worth_more(self, batch: Batch) -> bool:  # whether another dispatch may go, and could earn something
         now, arrival = self.transport.now, batch.arrival
         until = arrival.time_limit - self._margin if batch.group.late_utility else batch.goal_at
-        return (len(batch.sends) < self.allowed.most_dispatches
-                and self._ration.allows(now, self._claim(batch))
+        return (len(batch.sends) < self.allowed.most_dispatches and self._ration.allows(now, batch.little)
                 and now + self.pace.run(now, arrival.group, arrival.cost) / 2 < until
                 and now < batch.allowed_until() and any(True for _ in self._kept(batch.bound_to())))
 
-    def _claim(self, batch: Batch) -> float:  # on the ration: that of the least worth leaves some to the rest
-        return self.LEAST_CLAIM if batch.group.utility <= self._stake else 1.0
-
     def progressed(self, batch: Batch, dispatch: int, lasted: int, share: float) -> None:
         """Ends a dispatch that another would overtake by far, or whose batch would not be answered in time:
         it had a bad plan, or its engine is far slower than the rest. `ended` decides what follows."""
         now, arrival = self.transport.now, batch.arrival
         run, left = self.pace.run(now, arrival.group, arrival.cost), lasted * (1.0 - share) / share
-        health, ramp = batch.sends[dispatch].engine.health, batch.sends[dispatch].engine.ramp
-        health.ran(ramp.share(now) * lasted / share / self.pace.alone(arrival.group, arrival.cost), 0.5)
+        engine, self.notes = batch.sends[dispatch].engine, True
+        alone = self.pace.alone(arrival.group, arrival.cost)
+        engine.health.ran(engine.ramp.share(now) * lasted / share / alone, 0.5)
         far = left > self.FAR * len(batch.sends) * run and self.worth_more(batch)
         if self.allowed.cancel and (far or now + left > arrival.time_limit):
             self.transport.cancel(arrival.index, dispatch)
@@ -731,4 +732,4 @@
             if rest:
                 self.transport.call_later(rest, lambda: self.finished(batch))
             elif following is not None and following.held and not following.sends:
-                self.hold(following)
+                following.gateway.hold(following)
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 
-from vanerelay import terms
+from vanerelay import checks, terms
 from vanerelay.decide import Health
 from vanerelay.net.buffers import Pool
 from vanerelay.net.clients import Clients
@@ -55,6 +55,9 @@
     if missing:
         raise BadStart(f"configuration {path}: nothing told under {', '.join(missing)}")
     assert isinstance(told, dict)
+    why = checks.wrong(told["settings"])
+    if why is not None:
+        raise BadStart(f"configuration {path}: {why}")
     return told
 
 
@@ -82,7 +85,8 @@
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
         room = int(told["limits"].get("memory_mb") or 192) * 2**20 // STATEMENT_SHARE
         self.service = Service(reactor, clock, profile, engines, peers, room)
-        self.service.open_gateway(int(str(told.get("seed", "0")), 16), profile)
+        self._seed, self._profile = int(str(told.get("seed", "0")), 16), profile
+        self.service.open_gateway(self._seed, profile)
         names = profile.get("failureDomains") or [], profile.get("kinds") or []
         locations, kinds = ({name: row for row, name in enumerate(listed)} for listed in names)
         self._membership: Membership | None = None
@@ -130,11 +134,26 @@
         log.info("ended")
 
     def reload(self, path: str) -> None:
-        """SIGHUP: the feed may have moved. All else stays as it was at the start."""
+        """SIGHUP: the feed may have moved, and other settings may hold from now on. A wrong configuration
+        changes nothing; settings that take a restart stay as they are."""
         try:
-            self.roster.move(str(read(path)["feed"]))
+            told = read(path)
+            self.roster.move(str(told["feed"]))
         except (BadStart, ValueError) as fault:
             log.warning("configuration not read again", why=str(fault))
+            return
+        profile = told["settings"]
+        if profile == self._profile:
+            return
+        why = checks.fixed(self._profile, profile)
+        if why is None and self._control is not None:
+            why = "proxies are served by the settings of the start"
+        if why is not None:
+            log.warning("settings stay until a restart", why=why)
+            return
+        self.service.open_gateway(self._seed, profile)
+        self._profile = profile
+        log.info("settings switched", groups=[str(group["name"]) for group in profile["classes"]])
 
     def _sweep(self) -> None:
         self.service.sweep()
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -60,20 +60,12 @@
                  peers: Peers | None, room: int) -> None:
         """`room`: bytes that the statements of open batches may take together."""
         self._reactor, self._clock, self._engines, self._peers = reactor, clock, engines, peers
-        groups = terms.service_groups(profile)
-        self._groups = {group.name: row for row, group in enumerate(groups)}
-        self._time_limits = [group.time_limit for group in groups]
         self._refs = set[str]()  # of the batches open: an engine takes two under one for the same
-        self._customers = {str(o.get("name")): row for row, o in enumerate(profile.get("orgs") or [])}
-        limits = profile.get("limits") or {}
-        self._most_open = int(limits.get("maxOpen") or 0)
-        allowed = terms.allowances(profile)
-        self._most_dispatches, self._grants = allowed.most_dispatches, allowed.grants
-        self._priorities = allowed.priorities
-        self._reported = terms.report_names(profile)
+        self._read(profile)
         self._names, self._gone = Names(), set[int]()  # engines, and those of them that have left the list
         self._holding: Holding[Request] = Holding()
         self._gateway: Gateway | None = None
+        self._ending = list[Gateway]()  # of settings before, that have not ended all they took
         self._guards: list[tuple[int, int, Request]] = []  # time limits of the open batches, the first first
         self._serial = itertools.count()
         self._guard_at: int | None = None
@@ -83,8 +75,25 @@
         self.open, self._room = 0, room
         self.now = clock.now()
 
+    def _read(self, profile: dict[str, Any]) -> None:
+        groups, allowed = terms.service_groups(profile), terms.allowances(profile)
+        self._groups = {group.name: row for row, group in enumerate(groups)}
+        self._time_limits = [group.time_limit for group in groups]
+        self._customers = {str(o.get("name")): row for row, o in enumerate(profile.get("orgs") or [])}
+        self._most_open = int((profile.get("limits") or {}).get("maxOpen") or 0)
+        self._most_dispatches, self._grants = allowed.most_dispatches, allowed.grants
+        self._priorities = allowed.priorities
+        self._reported = terms.report_names(profile)
+
     def open_gateway(self, seed: int, profile: dict[str, Any]) -> None:
-        self._gateway = gateway = terms.open_gateway(self, seed, profile)
+        """Under these settings from now on. Batches taken before end under the settings of then."""
+        self.now, old = self._clock.now(), self._gateway
+        gateway = terms.open_gateway(self, seed, profile)
+        if old is not None:
+            gateway.succeed(old)
+            self._ending.append(old)
+        self._read(profile)
+        self._gateway = gateway
         if self._peers is not None:
             self._peers.heard_from = lambda number, data: self._heard_from(gateway, number, data)
 
@@ -203,8 +212,10 @@
             self._engines.only(there)
             self._gone = self._names.all() - there
         self._listed = True
-        if self._gateway is not None:
-            self._call(None, self._gateway.listed, entries, change.whole)
+        self._ending = [gateway for gateway in self._ending if not gateway.done()]
+        for gateway in (self._gateway, *self._ending):
+            if gateway is not None:
+                self._call(None, gateway.listed, entries, change.whole)
         for watcher in self.watchers:
             watcher(change)
 
