--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -257,11 +257,9 @@
         """Loads of a table group lean to every other engine by name, what would wait for them to the rest.
         Departure: where nobody waits, all but loads lean to engines that the table group's number scatters,
         the same ones at every gateway, since an engine reads faster what it read lately."""
-        if not self._waits:
-            leans = batch.arrival.tables and not batch.group.is_load
-            part = scatter(engine.entry.name, batch.arrival.tables) / 2.0**64 if leans else 0.0
-            return min(self.HOME, 1.0 / max(1e-9, 1.0 - part))
-        if not batch.group.meets_loads():
+        if not self._waits and batch.arrival.tables and not batch.group.is_load:
+            return min(self.HOME, 1.0 / max(1e-9, 1 - scatter(engine.entry.name, batch.arrival.tables) / 2**64))
+        if not self._waits or not batch.group.meets_loads():
             return 1.0
         home = (bisect_left(self.names, engine.entry.name) + batch.arrival.tables) % 2 == 1
         return 1.0 if batch.group.is_load == home else self.APART
@@ -691,7 +689,8 @@
         now, arrival = self.transport.now, batch.arrival
         if work:
             self.pace.learn(now, arrival.group, arrival.cost, work, lasted)
-            engine.health.ran(engine.ramp.share(now) * lasted * batch.group.threads / work, 1.0)
+            if batch.threads == batch.group.threads:  # else it may have stood still behind a load
+                engine.health.ran(engine.ramp.share(now) * lasted * batch.threads / work, 1.0)
         if memory:
             self._peaks.learn(now, arrival.group, arrival.tables, arrival.memory, memory)
         if batch.group.is_load and lasted:
