--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -258,7 +258,7 @@
         Departure: where nobody waits, all but loads lean to engines that the table group's number scatters,
         the same ones at every gateway, since an engine reads faster what it read lately."""
         if not self._waits and batch.arrival.tables and not batch.group.is_load:
-            return min(self.HOME, 1.0 / max(1e-9, 1 - scatter(engine.entry.name, batch.arrival.tables) / 2**64))
+            return min(self.HOME, 1 / max(1e-9, 1 - scatter(engine.entry.name, batch.arrival.tables) / 2**64))
         if not self._waits or not batch.group.meets_loads():
             return 1.0
         home = (bisect_left(self.names, engine.entry.name) + batch.arrival.tables) % 2 == 1
