--- a/vanerelay/checks.py
+++ b/vanerelay/checks.py
@@ -1,114 +1,92 @@
 """The settings looked through before they are used: the first that is wrong, in one line. Nothing chooses.
 
-What is not told keeps its default; names nobody knows are let be, as new ones may come."""
+What is not told keeps its default; names nobody knows are let be, as new ones may come. By hand, as the
+platform's start carries no library for it (requirements.txt)."""
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
 from vanerelay import terms
 
-REPORTS = ("piggyback", "pull", "silent")
+Leaf = tuple[str, Callable[[Any], bool]]  # what is expected, and whether a value is that
+
+NEEDED = ("classes", "aimUs", "deadlineUs", "semantics")
 # What a running instance cannot take over: its connections, its place and its messages were made for these.
-AT_START = {"limits": ("multiplex", "connIdleUs", "dialTimeoutUs", "cancel", "secondCopies", "peers",
-                       "maxAttempts"),
-            "": ("kinds", "failureDomains", "position", "groupSize", "az", "report")}
+AT_START = ("kinds", "failureDomains", "position", "groupSize", "az", "report", "limits.maxAttempts",
+            "limits.multiplex", "limits.connIdleUs", "limits.dialTimeoutUs", "limits.cancel",
+            "limits.secondCopies", "limits.peers")
 
 
 def wrong(profile: Any) -> str | None:
     """Why these settings cannot be used, naming the key; None if they can."""
-    return next(_faults(profile), None)
+    return next(_faults("", profile, _wanted(profile)), None)
 
 
 def fixed(old: Mapping[str, Any], new: Mapping[str, Any]) -> str | None:
     """The first setting that differs and takes a restart; None if the new ones can be switched to."""
-    for part, names in AT_START.items():
-        was, now = (old.get(part) or {}, new.get(part) or {}) if part else (old, new)
-        for name in names:
-            if was.get(name) != now.get(name):
-                at = f"{part}.{name}" if part else name
-                return f"{at}: {now.get(name)!r}, expected {was.get(name)!r} until a restart"
+    for at in AT_START:
+        part, _, name = at.rpartition(".")
+        was, now = ((told.get(part) or {} if part else told).get(name) for told in (old, new))
+        if was != now:
+            return f"{at}: {now!r}, expected {was!r} until a restart"
     return None
 
 
-def _faults(profile: Any) -> Iterator[str]:
-    if not isinstance(profile, dict):
-        yield "settings: expected an object"
-        return
-    kinds, places = (profile.get(name) or [] for name in ("kinds", "failureDomains"))
-    classes = profile.get("classes")
-    if not isinstance(classes, list) or not classes:
-        yield "classes: expected a list of service groups"
-        return
-    for row, group in enumerate(classes):
-        at = f"classes[{row}]"
-        if not isinstance(group, dict):
-            yield f"{at}: expected an object"
-            return
-        for name in ("aimUs", "deadlineUs"):
-            if name not in group:
-                yield f"{at}.{name}: not told, expected a time in microseconds"
-        yield from _figures(at, group, {"aimUs": 0, "deadlineUs": 1, "windowUs": 0, "aimStretch": 0,
-                                        "importance": 0, "lateWorth": 0})
-        yield from _word(f"{at}.semantics", group.get("semantics"), tuple(terms.EFFECTS), needed=True)
-        yield from _word(f"{at}.dedupScope", group.get("dedupScope"), tuple(terms.SCOPES))
-        yield from _marks(at, group, ("inTurn",))
-        yield from _bound(f"{at}.kindsOnly", group.get("kindsOnly"), len(kinds), "kinds")
-        yield from _bound(f"{at}.staysIn", group.get("staysIn"), len(places), "failureDomains")
-    for part in ("familyInfo", "limits", "safety", "report"):
-        if not isinstance(profile.get(part) or {}, dict):
-            yield f"{part}: {profile[part]!r}, expected an object"
-            return
-    info, limits, rules = (profile.get(part) or {} for part in ("familyInfo", "limits", "safety"))
-    yield from _figures("familyInfo", info, {"progressUs": 0, "grantCap": 0})
-    yield from _word("familyInfo.memoryShort", info.get("memoryShort"), tuple(terms.SHORTAGES))
-    yield from _marks("familyInfo", info, ("takesGrants", "lanesCount", "bills"))
-    for name, least in (("parallelism", 1), ("cpuOfKind", 0), ("memoryByKindMb", 0)):
-        values = info.get(name) or []
-        if not isinstance(values, list):
-            yield f"familyInfo.{name}: {values!r}, expected a list"
-            continue
-        rows = range(len(values))
-        yield from _figures(f"familyInfo.{name}", dict(enumerate(values)), dict.fromkeys(rows, least))
-    yield from _figures("limits", limits, {
-        "maxAttempts": 1, "maxOpen": 0, "multiplex": 1, "dialTimeoutUs": 0, "connIdleUs": 0,
-        "maxRetryAfterUs": 0})
-    yield from _marks("limits", limits, ("cancel", "secondCopies", "probes", "peers", "retryAfter"))
-    yield from _figures("safety", rules, {
-        "coldFrom": 0, "coldUs": 0, "fallMultiple": 1, "overloadForUs": 0, "drainGraceUs": 0,
-        "orderPauseUs": 0, "ratioSpanUs": 0, "minExtra": 0, "extraRatio": 0})
-    yield from _word("report.how", (profile.get("report") or {}).get("how"), REPORTS)
-    yield from _figures("", profile, {"position": 0, "groupSize": 1, "az": 0, "tickUs": 0})
-
-
-def _figures(at: str, told: Mapping[Any, Any], least: Mapping[Any, float]) -> Iterator[str]:
-    for name, bound in least.items():
-        value = told.get(name)
-        if value is not None and (isinstance(value, bool) or not isinstance(value, (int, float))
-                                  or not bound <= value < float("inf")):
-            where = f"{at}[{name}]" if isinstance(name, int) else f"{at}.{name}".lstrip(".")
-            yield f"{where}: {value!r}, expected a figure of {bound} or more"
-
-
-def _marks(at: str, told: Mapping[str, Any], names: Sequence[str]) -> Iterator[str]:
-    for name in names:
-        if not isinstance(told.get(name, False), (bool, type(None))):
-            yield f"{at}.{name}: {told[name]!r}, expected true or false"
-
-
-def _word(at: str, value: Any, words: Sequence[str], needed: bool = False) -> Iterator[str]:
-    if value is None and not needed:
-        return
-    if not isinstance(value, str) or value not in words:
-        yield f"{at}: {value!r}, expected one of {', '.join(words)}"
-
-
-def _bound(at: str, value: Any, number: int, listed: str) -> Iterator[str]:
-    if value is None:
-        return
-    if not isinstance(value, list):
-        yield f"{at}: {value!r}, expected a list of places in {listed}"
-        return
-    for one in value:
-        if isinstance(one, bool) or not isinstance(one, int) or not 0 <= one < number:
-            yield f"{at}: {one!r}, expected a place in {listed}, 0 to {number - 1}"
+def _figure(least: float = 0) -> Leaf:
+    return f"a figure of {least} or more", lambda v: type(v) in (int, float) and least <= v < float("inf")
+
+
+def _word(words: Iterable[str]) -> Leaf:
+    return f"one of {', '.join(words)}", lambda v: isinstance(v, str) and v in words
+
+
+def _place(profile: Any, name: str) -> Leaf:
+    listed = profile.get(name) if isinstance(profile, dict) else None
+    number = len(listed) if isinstance(listed, list) else 0
+    return f"a place among the {number} in {name}", lambda v: type(v) is int and 0 <= v < number
+
+
+def _wanted(profile: Any) -> dict[str, Any]:
+    text, mark = ("text", lambda v: isinstance(v, str)), ("true or false", lambda v: isinstance(v, bool))
+    figure, times = _figure(), _figure(terms.MICROS)  # shorter ones the module's time cannot tell from 0
+    return {
+        "classes": [{
+            "name": text, "aimUs": times, "deadlineUs": times, "windowUs": figure, "aimStretch": figure,
+            "importance": figure, "lateWorth": figure, "semantics": _word(terms.EFFECTS),
+            "dedupScope": _word(terms.SCOPES), "inTurn": mark, "kindsOnly": [_place(profile, "kinds")],
+            "staysIn": [_place(profile, "failureDomains")]}],
+        "kinds": [text], "failureDomains": [text], "orgs": [{"name": text}],
+        "familyInfo": {
+            "progressUs": figure, "grantCap": figure, "memoryShort": _word(terms.SHORTAGES),
+            "takesGrants": mark, "lanesCount": mark, "bills": mark, "parallelism": [_figure(1)],
+            "cpuOfKind": [figure], "memoryByKindMb": [figure], "writesTables": [mark],
+            "waitsForLoads": [mark]},
+        "limits": {
+            "maxAttempts": _figure(1), "maxOpen": figure, "multiplex": _figure(1), "dialTimeoutUs": figure,
+            "connIdleUs": figure, "maxRetryAfterUs": figure, "cancel": mark, "secondCopies": mark,
+            "probes": mark, "peers": mark, "retryAfter": mark},
+        "safety": {"fallMultiple": _figure(1), **dict.fromkeys(
+            ("coldFrom", "coldUs", "overloadForUs", "drainGraceUs", "orderPauseUs", "ratioSpanUs", "minExtra",
+             "extraRatio"), figure)},
+        "report": {"how": _word(("piggyback", "pull", "silent"))},
+        "position": figure, "groupSize": _figure(1), "az": figure, "tickUs": figure}
+
+
+def _faults(at: str, value: Any, wanted: Any) -> Iterator[str]:
+    if isinstance(wanted, dict) and not isinstance(value, dict):
+        yield f"{at or 'settings'}: {value!r}, expected an object"
+    elif isinstance(wanted, dict):
+        for name, inner in wanted.items():
+            where = f"{at}.{name}" if at else name
+            if value.get(name) not in (None, []):
+                yield from _faults(where, value[name], inner)
+            elif name in NEEDED:
+                yield f"{where}: not told, expected it"
+    elif isinstance(wanted, list) and not isinstance(value, list):
+        yield f"{at}: {value!r}, expected a list"
+    elif isinstance(wanted, list):
+        for row, one in enumerate(value):
+            yield from _faults(f"{at}[{row}]", one, wanted[0])
+    elif not wanted[1](value):
+        yield f"{at}: {value!r}, expected {wanted[0]}"
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -301,15 +301,15 @@
     """Rule 5: batches of one key run one at a time, in the order taken."""
 
     def __init__(self, pause: int) -> None:
-        self._pause, self.rests = pause, dict[int, int]()
+        self.pause, self._rests = pause, dict[int, int]()
         self.queues: defaultdict[int, deque[Batch]] = defaultdict(deque)
 
     def unsure(self, now: int, key: int) -> None:
-        self.rests = {other: until for other, until in self.rests.items() if until > now}
-        self.rests[key] = now + self._pause + 1
+        self._rests = {other: until for other, until in self._rests.items() if until > now}
+        self._rests[key] = now + self.pause + 1
 
     def next(self, now: int, key: int) -> tuple[Batch | None, int]:  # whose turn it is, and its rest still
-        queue, rest = self.queues[key], max(0, self.rests.get(key, 0) - now)
+        queue, rest = self.queues[key], max(0, self._rests.get(key, 0) - now)
         while queue and queue[0].over and not queue[0].out():
             queue.popleft()
         if not queue:
@@ -411,7 +411,7 @@
         send.engine.health.heard(now)
         send.heard = now
         self.gateway.learn(self, send.engine, 0, send.grant + value if kind is NoteKind.SPILL else 0.0, 0)
-        if kind is NoteKind.PROGRESS and value > 0.0 and send.out:
+        if kind is NoteKind.PROGRESS and value > 0.0 and send.out and self.gateway.allowed.notes_every:
             self.gateway.progressed(self, dispatch, now - send.sent, value)
 
     def left(self) -> None:
@@ -423,8 +423,7 @@
 
 class Gateway:
     WAIT_BOUND, CUT = 2 * SECOND, 0.5  # a head held longer gets a cut grant, no smaller than this part
-    LATELY = 3 * SECOND  # departure: where no messages tell, slices go by the work that comes, 1/n at least
-    FAR = 4.0  # times its usual run, and again for each further dispatch: estimates miss by 3
+    LATELY, FAR = 3 * SECOND, 4.0  # of the work that comes; far behind, in usual runs: estimates miss by 3
     RETRY_AFTER = SECOND  # when a batch given up may come again, where clients can be told
     WITHIN = 64  # bounds whose engines are kept in order apart
     KEPT, COVER, TRIERS = 8, 4, 3  # engines kept; gateways that keep each; those that try a sick one a second
@@ -459,7 +458,7 @@
         if whole:
             for index in sorted(self._engines.keys() - {entry.engine for entry in entries}):
                 self._list(self._engines[index], False)
-        for entry in entries:
+        for entry in (e for e in entries if e.engine in self._engines or not self._retired):
             if entry.engine not in self._engines:
                 kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
                 large = max(group.goal * group.threads for group in self._groups) / 8
@@ -467,6 +466,7 @@
                 engine = self._engines[entry.engine] = self._off[entry.engine] = Engine(entry, kind, ramp)
                 if entry.name in self._before:
                     engine.inherit(self.transport.now, self._before.pop(entry.name))
+                    self._looked_after[entry.engine] = engine
             engine = self._engines[entry.engine]
             if entry.started > engine.ramp.began:
                 engine.ramp.restart(entry.started)
@@ -612,15 +612,14 @@
                 self.transport.log(f"engine {engine.entry.name} {'back in use' if sick else 'held back'}")
             if engine.health.level >= 1.0 and not engine.ledger.running:
                 del self._looked_after[engine.entry.engine]
-        silent = now - self.allowed.notes_every - Health.QUIET
         for batch, dispatch in list(self.out.values()) if self.notes and self.allowed.cancel else ():
-            if batch.sends[dispatch].heard < silent and not stalled:  # it is done, and its answer lost
+            if now - batch.sends[dispatch].heard > self.allowed.notes_every + Health.QUIET and not stalled:
                 self.transport.cancel(batch.arrival.index, dispatch)
         self.line.serve(self.admit)
         few = self.allowed.peers and 1 < self._place.gateways <= self.FEW
         if not few:
-            fleet = max(1.0, self.pool.cores * Ledger.WIDTH / 2.0)
-            self._wanted = min(1.0, self._offered.total(now, 0) / self.LATELY / fleet)
+            offered = self._offered.total(now, 0) / self.LATELY  # beside the cores at half of their threads
+            self._wanted = min(1.0, offered / (self.pool.cores * Ledger.WIDTH / 2.0))
         elif now - self._needs[self._place.number][0] >= self.SIGN:
             own = 1.0 + self._ration.ring.total(now, 0) / min(1.0, (now - self._born + SECOND) / self.SPAN)
             self._needs[self._place.number] = now, own
@@ -643,7 +642,8 @@
         grants where the kind stays, what cold ones were sent; turns; a ration of the same span; what groups
         of the same name and threads need. Afresh: slices, loads told, peaks by tables, door and line."""
         self._before, old._retired = {e.entry.name: e for e in old._engines.values()}, True
-        self.turns.queues, self.turns.rests, self.notes = old.turns.queues, old.turns.rests, old.notes
+        old.turns.pause, self.notes = self.turns.pause, old.notes
+        self.turns = old.turns
         if self._ration.terms.span == old._ration.terms.span:
             self._ration.ring = old._ration.ring
         rows = {(group.name, group.threads): row for row, group in enumerate(old._groups)}
