Laboratory of processes: real managers under scripted faults, judged from outside

Heredocs in operators' files give their text without the marks. Ruled out: namespaces and traffic control (rights), relays with two hops for parties that live in the laboratory (docs/design/lab.md).

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 dev:
 	test -x $(DEV)/python || python3 -m venv .venv-dev
-	$(DEV)/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-xds.txt -r requirements-dev.txt
+	$(DEV)/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-xds.txt -r requirements-lab.txt -r requirements-dev.txt
 
 test: dev
 	$(DEV)/python -m pytest -q
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -16,7 +16,7 @@
 from vanerelay import __version__
 
 
-def _log(level: str) -> None:
+def log_to(level: str) -> None:
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -45,7 +45,11 @@
     """Loads a subsystem's commands when they are called: a start without them imports nothing of theirs."""
 
     PARTS = {"members": ("vanerelay.membership.commands", "requirements-membership.txt"),
-             "proxies": ("vanerelay.membership.commands", "requirements-membership.txt")}
+             "proxies": ("vanerelay.membership.commands", "requirements-membership.txt"),
+             "fleet": ("vanerelay.fleet.commands", "requirements-membership.txt"),
+             "keep": ("vanerelay.rollout.commands", "requirements-membership.txt"),
+             "rollout": ("vanerelay.rollout.commands", "requirements-membership.txt"),
+             "lab": ("vanerelay.lab.commands", "requirements-lab.txt")}
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.PARTS])
@@ -95,11 +99,14 @@
 @click.option("--name", envvar="LB_NAME", help="The name in the log [LB_NAME]; else as configured.")
 @click.option("--options", help="The operators' own file, as HCL: subsystems that are switched on.")
 @click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
-def serve(config: str, listen: str | None, name: str | None, options: str | None, log_level: str) -> None:
+@click.option("--listen-fd", type=int, hidden=True, help="The listening socket of a keeper.")
+@click.option("--ready-fd", type=int, hidden=True, help="Where to tell a keeper that batches are taken.")
+def serve(config: str, listen: str | None, name: str | None, options: str | None, log_level: str,
+          listen_fd: int | None, ready_fd: int | None) -> None:
     """Serves clients until SIGTERM, then answers what it has taken and ends. SIGHUP reads the configuration
     again and follows the feed that it names."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends the program; so early nothing was read
-    _log(log_level)
+    log_to(log_level)
     from twisted.internet.main import installReactor
 
     from vanerelay.net.clock import Clock, Reactor
@@ -107,7 +114,7 @@
     clock = Clock()
     reactor = Reactor(clock)
     installReactor(reactor)  # type: ignore[no-untyped-call]
-    from vanerelay.net.program import BadStart, Program, read
+    from vanerelay.net.program import BadStart, Kept, Program, read
 
     try:
         parts = _subsystems(options)
@@ -115,7 +122,8 @@
         name = name or str(told.get("name", ""))
         structlog.contextvars.bind_contextvars(gateway=name)
         program = Program(reactor, clock, told, listen or str(told.get("listen", "")),
-                          parts.get("membership"), parts.get("xds"))
+                          parts.get("membership"), parts.get("xds"), parts.get("fleet"),
+                          parts.get("rollout"), name, Kept(listen_fd, ready_fd))
     except BadStart as fault:
         click.echo(f"vanerelay: {fault}", err=True)
         sys.exit(2)
@@ -131,12 +139,15 @@
 @click.option("--options", help="The operators' own file, read as well.")
 def check(config: str, options: str | None) -> None:
     """Reads a configuration and says what it tells, without listening anywhere."""
-    from vanerelay import terms
+    from vanerelay import checks, terms
     from vanerelay.net import feed
     from vanerelay.net.program import BadStart, read
 
     try:
         told = read(config)
+        why = checks.doubtful(told["settings"])
+        if why is not None:
+            raise BadStart(f"configuration {config}: {why}")
         groups = terms.service_groups(told["settings"])
         changes = feed.parse(told["known"], {}, {})
     except (BadStart, KeyError, TypeError, ValueError, AttributeError) as fault:
--- /dev/null
+++ b/vanerelay/lab/script.py
@@ -0,0 +1,299 @@
+"""Scripts of the laboratory (HCL), read into plain values. Nothing here chooses, and nothing is started."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+from vanerelay.interface import MILLISECOND, SECOND, Effect, Span
+from vanerelay.lab.model import Cold, Machine
+from vanerelay.options import BadOptions, Block, read
+
+T = TypeVar("T")
+SCRIPTS = Path(__file__).parent / "scripts"
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """A service group and its load. `rate`: batches a second from all clients together; `work` of one on one
+    core, scattered by a log-normal of `spread`; `memory` in MB."""
+
+    name: str
+    goal: Span
+    limit: Span
+    rate: float
+    work: Span
+    utility: float = 1.0
+    effect: Effect = Effect.REPEATABLE
+    window: Span = 0
+    spread: float = 0.4
+    memory: float = 100.0
+    threads: int = 1
+    locations: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Clients:
+    """What clients do: `retries` after a pushback (of repeatable ones after any failure), `backoff` before
+    the first, doubled each time; `skew`: how much more the first manager gets than the last; `notice`: after
+    how long the front learns that a manager is gone; `tables`: groups of tables that statements name."""
+
+    retries: int = 2
+    backoff: Span = 200 * MILLISECOND
+    skew: float = 1.0
+    notice: Span = SECOND
+    tables: int = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Engines:
+    """Some engines alike: `count` of them, in `locations` in turn."""
+
+    kind: str
+    count: int
+    cores: int = 4
+    memory: float = 8000.0
+    locations: tuple[str, ...] = ("here",)
+
+
+@dataclass(frozen=True, slots=True)
+class Managers:
+    """`count` of them, in `locations` in turn. `options`: an operators' file with @NAME@, @FOLDER@ and other
+    words of the laboratory filled in for each. `talk`: datagrams among them; `keeper`: each by a keeper,
+    which knows the script's releases."""
+
+    count: int
+    locations: tuple[str, ...] = ("here",)
+    memory_mb: int = 192
+    sockets: int = 1024
+    options: str = ""
+    talk: bool = False
+    keeper: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """A file of a process: its `text`, with words of the laboratory filled in, or managers' `settings`."""
+
+    name: str
+    text: str = ""
+    settings: tuple[tuple[str, Any], ...] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Program:
+    """Another process of a play, such as a controller: `words` after `vanerelay`, started `at`; `again`:
+    where it is started once more after it was struck; `exits`: the code that it has to end with, -1: none is
+    asked."""
+
+    name: str
+    words: tuple[str, ...]
+    at: Span = 0
+    again: tuple[str, ...] = ()
+    exits: int = -1
+    files: tuple[Written, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """A program to start managers from. `tree`: the folder with the package, empty: this one; `managers` by
+    pattern that start on it; `options` and `settings` in place of the script's; `shim`: Python that is run
+    in each of its processes at the start, for releases that are bad on purpose."""
+
+    name: str
+    managers: str = ""
+    tree: str = ""
+    options: str = ""
+    shim: str = ""
+    settings: tuple[tuple[str, Any], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ration:
+    span: Span = 10 * SECOND
+    free: int = 10
+    share: float = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that goes wrong `at` a time, for `lasting` (0: for good, or at one moment). Which words go
+    together is in WORDS."""
+
+    name: str
+    at: Span
+    lasting: Span = 0
+    links: tuple[str, ...] = ()
+    managers: str = ""
+    engines: str = ""
+    programs: str = ""
+    do: str = ""
+    delay: Span = 0
+    jitter: Span = 0
+    rate: float = 0.0
+    loss: float = 0.0
+    factor: float = 1.0
+    folder: str = "kept"
+    release: str = ""
+    every: Span = 0
+    group: str = "*"
+    settings: tuple[tuple[str, Any], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """What a play has to reach to be called good, beside its rules: the part of the utility offered that was
+    reached within the goal, after `since`."""
+
+    served: float = 0.0
+    since: Span = 0
+
+
+# What `do` may say of what is named; the first word is what the block names it by.
+WORDS = {
+    "links": ("slow", "hold", "swallow", "refuse", "reset", "cut"),
+    "managers": ("kill", "freeze", "end", "settings"),
+    "programs": ("kill", "freeze", "end"),
+    "engines": ("crash", "vanish", "stall", "pace", "errors", "drain", "replace"),
+    "": ("load",),
+}
+FOLDERS = ("kept", "gone")
+
+
+@dataclass(frozen=True, slots=True)
+class Script:
+    name: str
+    length: Span
+    groups: tuple[Group, ...]
+    engines: tuple[Engines, ...]
+    managers: Managers
+    releases: tuple[Release, ...]
+    programs: tuple[Program, ...]
+    clients: Clients
+    cold: Cold
+    ration: Ration
+    faults: tuple[Fault, ...]
+    expected: Expected
+    settings: tuple[tuple[str, Any], ...]
+    feed_late: Span  # how long after a change the feed has it to tell
+    quiet: Span  # after the load ends, until everything must have been answered
+
+    def machine(self, kind: str) -> Machine:
+        one = next(one for one in self.engines if one.kind == kind)
+        return Machine(one.cores, one.memory)
+
+    @property
+    def locations(self) -> list[str]:
+        named = [*self.managers.locations, *(place for one in self.engines for place in one.locations)]
+        return list(dict.fromkeys(named))
+
+
+def find(name: str) -> str:
+    """A script by its path, or by the name of one that comes with the laboratory."""
+    ours = SCRIPTS / f"{name}.hcl"
+    return str(ours) if "/" not in name and not name.endswith(".hcl") and ours.exists() else name
+
+
+def load(path: str) -> Script:
+    """Raises BadOptions with the line of what is wrong."""
+    document = read(find(path))
+    groups = tuple(_group(one) for one in document.all("group"))
+    engines = tuple(_filled(one, Engines, kind=one.label or "k") for one in document.all("engines"))
+    managers = document.only("managers")
+    releases = tuple(
+        _filled(one, Release, name=one.label, settings=_settings(one)) for one in document.all("release")
+    )
+    faults = tuple(_fault(one, {release.name for release in releases}) for one in document.all("fault"))
+    if not groups or not engines or managers is None:
+        raise document.wrong("no group, engines or managers, expected at least one of each")
+    script = Script(
+        name=document.take("name", str, Path(path).stem),
+        length=document.take("length", Span, 20 * SECOND),
+        groups=groups,
+        engines=engines,
+        managers=_filled(managers, Managers),
+        releases=releases,
+        programs=tuple(_program(one) for one in document.all("program")),
+        clients=_one(document, "clients", Clients),
+        cold=_one(document, "cold", Cold),
+        ration=_one(document, "ration", Ration),
+        faults=faults,
+        expected=_one(document, "expect", Expected),
+        settings=_settings(document),
+        feed_late=document.take("feed_late", Span, SECOND // 2),
+        quiet=max(group.limit for group in groups) + SECOND,
+    )
+    document.done()
+    return script
+
+
+def _one(document: Block, name: str, kind: type[T]) -> T:
+    block = document.only(name)
+    return _filled(block, kind) if block is not None else kind()
+
+
+def _filled(block: Block, part: type[T], /, **given: Any) -> T:
+    found = block.fill(part, **given)
+    block.done()
+    return found
+
+
+def _group(block: Block) -> Group:
+    found = _filled(block, Group, name=block.label)
+    if not found.name:
+        raise block.wrong('group: no name, expected one, such as group "look"')
+    return found
+
+
+def _program(block: Block) -> Program:
+    files = tuple(
+        _filled(
+            one,
+            Written,
+            name=one.label,
+            settings=_settings(one) if one.take("settings", dict[str, Any]) is not None else None,
+        )
+        for one in block.all("file")
+    )
+    return _filled(block, Program, name=block.label, files=files)
+
+
+def _settings(block: Block) -> tuple[tuple[str, Any], ...]:
+    """Settings of managers by their path, such as "limits.maxAttempts" = 2."""
+    told = block.take("settings", dict[str, Any], {})
+    return tuple((name.strip('"'), value) for name, value in told.items())
+
+
+def _fault(block: Block, releases: set[str]) -> Fault:
+    found = _filled(block, Fault, name=block.label, settings=_settings(block))
+    named = [word for word in ("links", "managers", "engines", "programs") if getattr(found, word)]
+    if len(named) > 1:
+        raise block.wrong(f"fault {block.label}: {' and '.join(named)}, expected one of them")
+    words = WORDS[named[0] if named else ""]
+    if found.do not in words:
+        raise block.wrong(f"do: {found.do!r}, expected one of {', '.join(words)}", "do")
+    if found.folder not in FOLDERS:
+        raise block.wrong(f"folder: {found.folder!r}, expected one of {', '.join(FOLDERS)}", "folder")
+    if found.release and found.release not in releases:
+        raise block.wrong(
+            f"release: {found.release!r}, expected one of {', '.join(sorted(releases))}", "release"
+        )
+    return found
+
+
+def repeated(script: Script) -> list[Fault]:
+    """All faults, those with `every` once for each time that they come, the first first."""
+    found = list[Fault]()
+    for fault in script.faults:
+        at = fault.at
+        while at < script.length:
+            found.append(dataclasses.replace(fault, at=at))
+            if not fault.every:
+                break
+            at += fault.every
+    return sorted(found, key=lambda fault: fault.at)
+
+
+__all__ = ["BadOptions", "Script", "find", "load", "repeated"]
--- /dev/null
+++ b/vanerelay/lab/scripts/roll-cut.hcl
@@ -0,0 +1,135 @@
+# The controller is killed twice in mid-change and goes on from its record; links to it are slow and cut.
+name   = "roll-cut"
+length = "60s"
+
+managers {
+  count     = 6
+  locations = ["east", "west"]
+  options   = <<EOT
+fleet {
+  listen = "@LISTEN@"
+  domain = "@PLACE@"
+  folder = "@FOLDER@"
+@MEMBERS@
+}
+rollout {
+  folder = "@FOLDER@"
+}
+EOT
+}
+
+engines "k" {
+  count     = 6
+  locations = ["east", "west"]
+}
+
+group "look" {
+  goal   = "500ms"
+  limit  = "3s"
+  rate   = 150
+  work   = "40ms"
+  memory = 60
+}
+
+group "order" {
+  goal    = "2s"
+  limit   = "6s"
+  rate    = 50
+  work    = "90ms"
+  utility = 3
+  effect  = "once-only"
+}
+
+program "controller" {
+  words = ["rollout", "start", "@FOLDER@/plan.hcl"]
+  again = ["rollout", "resume", "@FOLDER@/plan.hcl"]
+  at    = "1s"
+  exits = 0
+  file "old.json" {
+    settings = {}
+  }
+  file "new.json" {
+    settings = { "safety.extraRatio" = 0.2 }
+  }
+  file "plan.hcl" {
+    text = <<EOT
+name     = "change"
+baseline = "4s"
+change {
+  before   = "old.json"
+  settings = "new.json"
+}
+@MEMBERS@
+away {
+  most   = 2
+  domain = 1
+}
+stage "two" {
+  managers = 2
+}
+stage "all" {
+  part = 1.0
+}
+judge {
+  block   = 20
+  least   = 6
+  settle  = "1s"
+  longest = "40s"
+}
+guard "look" {
+  loss = 0.3
+}
+guard "order" {
+  loss = 0.3
+}
+
+EOT
+  }
+}
+
+fault "controller killed while it watches" {
+  at       = "4s"
+  lasting  = "1s"
+  programs = "controller"
+  do       = "kill"
+}
+
+fault "controller killed in its first stage" {
+  at       = "12s"
+  lasting  = "2s"
+  programs = "controller"
+  do       = "kill"
+}
+
+fault "slow to two managers" {
+  at      = "8s"
+  lasting = "14s"
+  links   = ["controller - m2", "controller - m3"]
+  do      = "slow"
+  delay   = "3s"
+}
+
+fault "cut one way" {
+  at      = "20s"
+  lasting = "5s"
+  links   = ["controller > m4"]
+  do      = "hold"
+}
+
+fault "m5 killed in mid-change" {
+  at       = "26s"
+  lasting  = "2s"
+  managers = "m5"
+  do       = "kill"
+}
+
+fault "m6 frozen" {
+  at       = "30s"
+  lasting  = "10s"
+  managers = "m6"
+  do       = "freeze"
+}
+
+expect {
+  served = 0.85
+}
--- a/vanerelay/options.py
+++ b/vanerelay/options.py
@@ -22,7 +22,8 @@
 
 UNITS = {"ms": SECOND // 1000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
 TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)")
-PLAIN = hcl2.SerializationOptions(with_comments=False, explicit_blocks=False, strip_string_quotes=True)
+PLAIN = hcl2.SerializationOptions(
+    with_comments=False, explicit_blocks=False, strip_string_quotes=True, preserve_heredocs=False)
 
 T = TypeVar("T")
 
@@ -66,7 +67,7 @@
     def only(self, name: str) -> Block | None:
         return next(iter(self.all(name)), None)
 
-    def fill(self, kind: type[T], **given: Any) -> T:
+    def fill(self, kind: type[T], /, **given: Any) -> T:
         """A part's arguments (a dataclass) from the attributes of their names; `given` are set by the
         caller."""
         assert dataclasses.is_dataclass(kind)
@@ -113,7 +114,8 @@
             raise self.wrong(f"{name}: {fault}", name) from None
 
 
-SUBSYSTEMS = {"membership": "vanerelay.membership.parts", "xds": "vanerelay.xds.parts"}
+SUBSYSTEMS = {"membership": "vanerelay.membership.parts", "xds": "vanerelay.xds.parts",
+              "fleet": "vanerelay.fleet.parts", "rollout": "vanerelay.rollout.parts"}
 
 
 def subsystems(path: str) -> dict[str, Any]:
@@ -124,6 +126,8 @@
         block = document.only(name)
         if block is not None:
             found[name] = importlib.import_module(module).parts(block)
+    if "rollout" in found and "fleet" not in found:
+        raise document.only("rollout").wrong("rollout: no fleet, expected a fleet block beside it")  # type: ignore[union-attr]
     document.done()
     return found
 
