Managers know each other, and change in stages: fleet, rollout, keeper

Need: a change of settings or program went to all managers by hand, and nobody noticed that the new ones do worse. fleet: SWIM with suspicion over AMP, incarnations that never go back, releases. rollout: a judge with confidence sequences on differences at the same time, a machine of stages from recorded events, fences at more than half, settings that the fleet shares held at the stricter value, a keeper that hands the clients' socket to the next program. Off without fleet and rollout blocks in the operators' file. Found on the way: an order overtaken by a later one under the same fence lay in a socket and counted when it came (the exhaustive model of stages finds it): orders are numbered.

--- a/vanerelay/checks.py
+++ b/vanerelay/checks.py
@@ -23,6 +23,23 @@
     return next(_faults("", profile, _wanted(profile)), None)
 
 
+def doubtful(profile: Mapping[str, Any]) -> str | None:
+    """What can be started with, as it always could, and is surely not meant: the first of it, in one line.
+    `check` and a rolling change refuse it. For settings in which nothing is wrong."""
+    info, kinds = profile.get("familyInfo") or {}, profile.get("kinds") or []
+    number, size = profile.get("position") or 0, profile.get("groupSize") or 1
+    if number >= size:
+        return f"position: {number}, expected less than the {size} of groupSize"
+    for name in ("cpuOfKind", "memoryByKindMb"):
+        told = info.get(name)
+        if told is not None and len(told) < len(kinds):
+            return f"familyInfo.{name}: {told!r}, expected a figure for each of {len(kinds)} kinds"
+        for row, value in enumerate(told or ()):
+            if not value:
+                return f"familyInfo.{name}[{row}]: {value!r}, expected more than 0"
+    return None
+
+
 def fixed(old: Mapping[str, Any], new: Mapping[str, Any]) -> str | None:
     """The first setting that differs and takes a restart; None if the new ones can be switched to."""
     for at in AT_START:
--- /dev/null
+++ b/vanerelay/fleet/commands.py
@@ -0,0 +1,137 @@
+"""`vanerelay fleet`: what operators ask of managers that know each other."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any, NoReturn
+
+import click
+from twisted.internet.defer import Deferred, DeferredList
+
+from vanerelay.fleet import words
+from vanerelay.fleet.alive import Standing, splits
+from vanerelay.fleet.links import Links
+
+PATIENCE_S = 3.0
+
+FILE = click.option("--options", help="The operators' file of a manager: its own address is asked.")
+ADDRESS = click.option("--address", help="HOST:PORT of a manager's fleet listener, in place of --options.")
+
+
+def fail(*lines: str) -> NoReturn:
+    for line in lines:
+        click.echo(f"vanerelay: {line}", err=True)
+    sys.exit(2)
+
+
+def asked_address(options: str | None, address: str | None) -> str:
+    from vanerelay.options import BadOptions, subsystems
+
+    if address:
+        return address
+    if not options:
+        fail("no manager named, expected --address or --options")
+    try:
+        found = subsystems(options)
+    except BadOptions as fault:
+        fail(str(fault))
+    if "fleet" not in found:
+        fail(f"{options}: no fleet block, expected one")
+    return str(found["fleet"].listen)
+
+
+def run(work: Any) -> Any:
+    """Runs a function that gives a Deferred, and gives what it comes to."""
+    from twisted.internet import reactor as found
+
+    reactor: Any = found
+    result = list[Any]()
+
+    def go() -> None:
+        work(reactor).addBoth(result.append).addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(go)
+    reactor.run()
+    if hasattr(result[0], "getErrorMessage"):
+        fail(result[0].getErrorMessage())
+    return result[0]
+
+
+@click.group()
+def fleet() -> None:
+    """The managers that know each other."""
+
+
+@fleet.command()
+@FILE
+@ADDRESS
+@click.option("--json", "as_json", is_flag=True, help="Tells JSON, an object a line.")
+def show(options: str | None, address: str | None, as_json: bool) -> None:
+    """Who there is, as each manager that answers sees it. Exits with 1 where views differ."""
+    first = asked_address(options, address)
+    views: dict[str, words.View] = run(lambda reactor: _views(reactor, first))
+    told = {name: words.members(view.rows) for name, view in views.items()}
+    differ = splits(told)
+    newest = dict[str, Any]()
+    for rows in told.values():
+        for member in rows:
+            known = newest.get(member.name)
+            if known is None or member.newer(known):
+                newest[member.name] = member
+    for name in sorted(newest, key=lambda name: (len(name), name)):
+        member = newest[name]
+        row = {
+            "name": name,
+            "standing": member.standing.name.lower(),
+            "state": member.state,
+            "domain": member.domain,
+            "program": member.program,
+            "settings": member.settings,
+            "incarnation": member.incarnation,
+            "answers": name in views,
+        }
+        if as_json:
+            click.echo(json.dumps(row))
+        else:
+            heard = "" if name in views or member.standing is not Standing.ALIVE else "  does not answer us"
+            click.echo(
+                f"{name:<12} {row['standing']:<8} {row['state']:<9} {row['domain']:<10} "
+                f"{row['program']:<20} {row['settings']:<13}{heard}".rstrip()
+            )
+    for split in differ:
+        if as_json:
+            click.echo(json.dumps({"split": split.name, **{word: list(who) for word, who in split.says}}))
+        else:
+            says = "; ".join(f"{word} as {', '.join(who)} see it" for word, who in split.says)
+            click.echo(f"views differ: {split.name}: {says}")
+    sys.exit(1 if differ else 0)
+
+
+def _views(reactor: Any, first: str) -> Deferred[dict[str, words.View]]:
+    links = Links(reactor)
+    found = dict[str, words.View]()
+
+    def ask(address: str) -> Deferred[words.View | None]:
+        asked: Deferred[Any] = links.ask(address, "view", b"", PATIENCE_S)
+        return asked.addCallback(lambda body: words.unpack(body, words.View))
+
+    def others(view: words.View | None) -> Deferred[Any]:
+        if view is None:
+            raise ValueError(f"{first} gives no view that can be read")
+        found[view.name] = view
+        at = [
+            row.address
+            for row in view.rows
+            if row.name != view.name and row.address and row.standing != Standing.LEFT
+        ]
+        return DeferredList([ask(address) for address in at], consumeErrors=True)
+
+    def ended(results: list[tuple[bool, Any]]) -> dict[str, words.View]:
+        for good, view in results:
+            if good and view is not None:
+                found[view.name] = view
+        links.stop()
+        return found
+
+    return ask(first).addCallback(others).addCallback(ended)
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -1,6 +1,7 @@
 """Clients: the driver that reads frames and writes answers, and the share of descriptors they hold."""
 from __future__ import annotations
 
+import socket
 from collections import OrderedDict
 from collections.abc import Callable
 from enum import Enum
@@ -269,9 +270,15 @@
     def buildProtocol(self, addr: object) -> ClientConnection:
         return ClientConnection(self)
 
-    def listen(self, host: str, port: int) -> None:
+    def listen(self, host: str, port: int, descriptor: int | None = None) -> None:
+        """`descriptor`: a socket that listens there already and stays open when we stop."""
         factory: Any = self
-        self._port = Listener(port, factory, self._most, host, self.reactor)
+        if descriptor is None:
+            self._port = Listener(port, factory, self._most, host, self.reactor)
+        else:
+            kind: Any = Listener
+            self._port = kind._fromListeningDescriptor(self.reactor, descriptor, socket.AF_INET, factory)
+            self._port.backlog = self._most
         self._port.startListening()
 
     @property
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -3,7 +3,10 @@
 
 import gc
 import json
+import os
 import resource
+import signal
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -21,8 +24,12 @@
 from vanerelay.net.service import Service
 
 if TYPE_CHECKING:
+    from vanerelay.fleet.parts import Parts as FleetParts
+    from vanerelay.fleet.service import Fleet
     from vanerelay.membership.joined import Membership
     from vanerelay.membership.parts import Parts
+    from vanerelay.rollout.fence import Store
+    from vanerelay.rollout.parts import Parts as RolloutParts
     from vanerelay.xds.parts import Parts as ControlParts
     from vanerelay.xds.service import ControlService
 
@@ -33,6 +40,8 @@
 FEW = 300  # batches open at most for one that costs little
 STOOD_STILL_S = 0.05  # as much as the page adds to each time limit on sockets
 CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
+PARENT_DEATH = 1  # of prctl: the signal that comes when the parent dies
+READY_AGAIN_S = 0.05  # between looks whether batches can be taken
 STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
 
 PAGE_BYTES = resource.getpagesize()
@@ -61,12 +70,25 @@
     return told
 
 
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What a keeper hands down: a socket that listens, and where to tell that batches are taken."""
+
+    listen_fd: int | None = None
+    ready_fd: int | None = None
+
+
 class Program:
     """The parts of one workload manager, each made with its own few settings."""
 
     def __init__(self, reactor: Any, clock: Clock, told: dict[str, Any], listen: str,
-                 parts: Parts | None = None, control: ControlParts | None = None) -> None:
-        """`parts`, `control`: membership and the control service as operators set them; None where off."""
+                 parts: Parts | None = None, control: ControlParts | None = None,
+                 fleet: FleetParts | None = None, orders: RolloutParts | None = None,
+                 name: str = "", kept: Kept | None = None) -> None:
+        """`parts`, `control`, `fleet`, `orders`: membership, the control service, what knows other managers
+        and what takes orders of a rolling change, as operators set them; None where off. `kept`: by a
+        keeper."""
+        self._kept = kept or Kept()
         self._reactor, self._clock = reactor, clock
         host, _, port = listen.rpartition(":")
         profile = told["settings"]
@@ -85,7 +107,10 @@
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
         room = int(told["limits"].get("memory_mb") or 192) * 2**20 // STATEMENT_SHARE
         self.service = Service(reactor, clock, profile, engines, peers, room)
-        self._seed, self._profile = int(str(told.get("seed", "0")), 16), profile
+        self._seed, self._store = int(str(told.get("seed", "0")), 16), None
+        if orders is not None:
+            self._store, profile = self._orders_kept(orders, profile)
+        self._profile = profile
         self.service.open_gateway(self._seed, profile)
         names = profile.get("failureDomains") or [], profile.get("kinds") or []
         locations, kinds = ({name: row for row, name in enumerate(listed)} for listed in names)
@@ -110,13 +135,16 @@
         self._control: ControlService | None = None
         if control is not None:
             self._open_control(control, profile, names[0])
+        self.fleet: Fleet | None = None
+        if fleet is not None:
+            self._open_fleet(fleet, name, profile, told["limits"])
         wrong = self._membership.start() if self._membership is not None else None
         if wrong is not None:
             raise BadStart(f"the console: {wrong}")
         try:
-            self.clients.listen(host, int(port))
+            self.clients.listen(host, int(port), self._kept.listen_fd)
             if peers is not None:
-                peers.open(reactor)
+                self._open_peers(peers)
         except (CannotListenError, ValueError, OverflowError) as fault:
             raise BadStart(f"cannot listen: {fault}") from None
 
@@ -130,9 +158,40 @@
         gc.collect()
         gc.freeze()
         gc.disable()
+        if self.fleet is not None:
+            self._reactor.callWhenRunning(self.fleet.start)
+            self.fleet.say(state="serving")
+        if self._kept.listen_fd is not None:
+            self._end_with_keeper()
+        if self._kept.ready_fd is not None:
+            self._reactor.callWhenRunning(self._say_ready, self._kept.ready_fd)
         self._reactor.run()
         log.info("ended")
 
+    def _end_with_keeper(self) -> None:
+        """The keeper holds the socket that our clients come by: where it dies we answer and end as well."""
+        import ctypes
+
+        parent = os.getppid()
+        ctypes.CDLL(None, use_errno=True).prctl(PARENT_DEATH, signal.SIGTERM, 0, 0, 0)
+        if os.getppid() != parent:  # it had died already
+            self._reactor.callWhenRunning(self._reactor.stop)
+
+    def _say_ready(self, descriptor: int) -> None:
+        if not self.service.ready():
+            self._reactor.callLater(READY_AGAIN_S, self._say_ready, descriptor)
+            return
+        os.write(descriptor, b"ready\n")
+
+    def _open_peers(self, peers: Peers) -> None:
+        """While a manager of before still listens there, a kept one waits for it."""
+        try:
+            peers.open(self._reactor)
+        except CannotListenError:
+            if self._kept.listen_fd is None:
+                raise
+            self._reactor.callLater(READY_AGAIN_S, self._open_peers, peers)
+
     def reload(self, path: str) -> None:
         """SIGHUP: the feed may have moved, and other settings may hold from now on. A wrong configuration
         changes nothing; settings that take a restart stay as they are."""
@@ -143,17 +202,13 @@
             log.warning("configuration not read again", why=str(fault))
             return
         profile = told["settings"]
-        if profile == self._profile:
-            return
-        why = checks.fixed(self._profile, profile)
-        if why is None and self._control is not None:
-            why = "proxies are served by the settings of the start"
+        if self._store is not None:
+            from vanerelay.fleet import release
+
+            profile = self._store.at_start(release.settings(profile)) or profile
+        why = self._switch(profile)
         if why is not None:
             log.warning("settings stay until a restart", why=why)
-            return
-        self.service.open_gateway(self._seed, profile)
-        self._profile = profile
-        log.info("settings switched", groups=[str(group["name"]) for group in profile["classes"]])
 
     def _sweep(self) -> None:
         self.service.sweep()
@@ -185,6 +240,65 @@
         except (CannotListenError, OSError) as fault:
             raise BadStart(f"the control service: {fault}") from None
 
+    def _orders_kept(self, orders: RolloutParts, profile: dict[str, Any]) -> tuple[Store, dict[str, Any]]:
+        """What is kept of orders, and the settings to start with: those ordered last, while the configuration
+        is the one that they took the place of."""
+        from vanerelay.fleet import release
+        from vanerelay.rollout.fence import Store
+
+        store = Store(orders.folder)
+        ordered = store.at_start(release.settings(profile))
+        if ordered is not None and checks.wrong(ordered) is None and checks.fixed(profile, ordered) is None:
+            return store, ordered
+        return store, profile
+
+    def _open_fleet(self, fleet: FleetParts, name: str, profile: dict[str, Any],
+                    limits: dict[str, Any]) -> None:
+        from vanerelay.fleet import release
+        from vanerelay.fleet.service import Fleet
+
+        if not name:
+            raise BadStart("the fleet knows managers by name: no name, expected one")
+        self.fleet = Fleet(self._reactor, self._clock, fleet, name, release.program(),
+                           release.settings(profile), self._seed)
+        if self._store is not None:
+            from vanerelay.rollout.hand import Hand
+
+            Hand(self._reactor, self.fleet, self.service, self._settle, self._store,
+                 int(limits.get("memory_mb") or 192) * 2**20, float(limits.get("cores") or 1.0))
+
+    def _settle(self, settings: dict[str, Any]) -> str | None:
+        """Settings ordered for the whole fleet, beside what is our own; why they can't be used."""
+        from vanerelay.fleet import release
+
+        own = {key: value for key, value in self._profile.items() if key in release.OWN}
+        try:
+            profile = {**settings, **own}
+            why = checks.wrong(profile) or self._switch(profile)
+        except (TypeError, ValueError, KeyError, AttributeError) as fault:
+            why = f"{type(fault).__name__}: {fault}"
+        return why
+
+    def _switch(self, profile: dict[str, Any]) -> str | None:
+        """Goes on under other settings; why it can't."""
+        if profile == self._profile:
+            return None
+        why = checks.fixed(self._profile, profile)
+        if why is None and self._control is not None:
+            why = "proxies are served by the settings of the start"
+        if why is not None:
+            return why
+        self.service.open_gateway(self._seed, profile)
+        self._profile = profile
+        told = {}
+        if self.fleet is not None:
+            from vanerelay.fleet import release
+
+            told["settings"] = release.settings(profile)
+            self.fleet.say(**told)
+        log.info("settings switched", groups=[str(group["name"]) for group in profile["classes"]], **told)
+        return None
+
     def _listing(self) -> bool:
         return self._membership is not None and self._membership.busy
 
@@ -201,6 +315,10 @@
         """SIGTERM: what was taken is answered, and connections may come for as long as the page says."""
         log.info("draining", open=self.service.open)
         self.service.ending = True
+        if self.fleet is not None and self._kept.listen_fd is not None:
+            self.fleet.hand_over()
+        elif self.fleet is not None:
+            self.fleet.say(state="draining")
         self.clients.each(lambda client: client.last())
         self._reactor.callLater(CONNECTIONS_S, self._no_connections)
         self._reactor.callLater(REQUESTS_S, self._no_requests)
@@ -223,4 +341,12 @@
             if part is not None:
                 part.stop()
         self._engines.close()
+        if self.fleet is not None:
+            self.fleet.leave().addCallback(self._left)
+        else:
+            self._drained.callback(None)
+
+    def _left(self, _: Any) -> None:
+        if self.fleet is not None:
+            self.fleet.stop()
         self._drained.callback(None)
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -6,7 +6,7 @@
 import math
 import re
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -23,6 +23,9 @@
 from vanerelay.net.resp import Note
 from vanerelay.net.statements import table_group
 
+if TYPE_CHECKING:
+    from vanerelay.rollout.hand import Tally
+
 log = structlog.get_logger()
 
 REF, FIGURE = re.compile("[0-9a-fA-F]{16}"), re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?")
@@ -38,11 +41,12 @@
     """A batch on the sockets: who waits for it, and what goes to an engine."""
 
     __slots__ = ("attempts", "body", "client", "grant", "group", "limit", "priority", "service",
-                 "stream", "used")
+                 "since", "stream", "used")
 
     def __init__(self, service: Service, client: ClientConnection, stream: int, name: str, group: str,
-                 limit: int, body: bytes) -> None:
+                 limit: int, body: bytes, since: int) -> None:
         super().__init__(name)
+        self.since = since
         self.service, self.client, self.stream = service, client, stream
         self.group, self.limit, self.body = group.encode(), limit, body
         self.attempts: list[Attempt | None] = []
@@ -72,6 +76,7 @@
         self._guard_timer: Any = None
         self._listed = self.ending = False
         self.watchers = list[Callable[[feed.Change], None]]()  # told of each change of the list in force
+        self.tally: Tally | None = None  # told what became of each batch, where somebody asks
         self.open, self._room = 0, room
         self.now = clock.now()
 
@@ -79,6 +84,8 @@
         groups, allowed = terms.service_groups(profile), terms.allowances(profile)
         self._groups = {group.name: row for row, group in enumerate(groups)}
         self._time_limits = [group.time_limit for group in groups]
+        self._worth = {group.name.encode(): (group.goal, group.late_utility / (group.utility or 1.0))
+                       for group in groups}
         self._customers = {str(o.get("name")): row for row, o in enumerate(profile.get("orgs") or [])}
         self._most_open = int((profile.get("limits") or {}).get("maxOpen") or 0)
         self._most_dispatches, self._grants = allowed.most_dispatches, allowed.grants
@@ -129,15 +136,17 @@
         if (group is None or customer is None or allow is None or effort is None or space is None
                 or not statement or allow * 10 > ALLOW_MOST * self._time_limits[group]
                 or not REF.fullmatch(name) or name in self._refs):
+            self._count_unheld(told, frames.ERRORED)
             client.answer(frame.stream, frames.ERRORED, {}, b"")
             return Taken.UNUSABLE
         full = self._most_open and self.open >= self._most_open or len(body) > self._room
         if full or self._gateway is None:
+            self._count_unheld(told, frames.PUSHED_BACK)
             client.answer(frame.stream, frames.PUSHED_BACK, {}, b"")
             return Taken.ANSWERED
         # The client counts from when it sent, which nobody tells: the earliest moment known stands for it.
         limit = since + int(allow * 10)
-        held = Request(self, client, frame.stream, name, told["service"], limit, body)
+        held = Request(self, client, frame.stream, name, told["service"], limit, body, since)
         self._holding.open(held)
         self.open += 1
         self._refs.add(name)
@@ -161,6 +170,8 @@
     def left(self, held: Request) -> None:
         """Its client no longer waits; what is out still ends."""
         if not held.ended:
+            if self.tally is not None:
+                self._count(held, frames.RETURNED, False)
             self._finish(held)
             if held.batch is not None:
                 self._call(held, held.batch.left)
@@ -271,7 +282,22 @@
         self._room += len(held.body)
         held.body = b""  # no dispatch follows
 
+    def _count(self, held: Request, code: int, heard: bool = True) -> None:
+        """Tells what became of a batch; `heard`: whether its client still waited."""
+        assert self.tally is not None
+        goal, late = self._worth.get(held.group, (0, 0.0))
+        passed = self._clock.now() - held.since
+        earned = 0.0 if code != frames.RETURNED or not heard else 1.0 if passed <= goal else late
+        self.tally.answered(held.group.decode(), earned, code, passed, len(held.attempts))
+
+    def _count_unheld(self, told: dict[str, str], code: int) -> None:
+        """The same of one that was answered on the spot."""
+        if self.tally is not None:
+            self.tally.answered(told.get("service", ""), 0.0, code, 0, 0)
+
     def _answer(self, held: Request, code: int, fields: dict[str, str], body: bytes) -> None:
+        if self.tally is not None:
+            self._count(held, code)
         self._finish(held)
         held.client.answer(held.stream, code, fields, body)
 
--- /dev/null
+++ b/vanerelay/rollout/controller.py
@@ -0,0 +1,360 @@
+"""Drives one rolling change: asks managers, records, orders. What is to be done stands in `stages.py`, how a
+stage does in `judge.py`."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import structlog
+from twisted.internet.defer import Deferred, DeferredList
+
+from vanerelay.fleet.links import Links
+from vanerelay.interface import SECOND
+from vanerelay.net.clock import UNITS, Clock
+from vanerelay.rollout import words
+from vanerelay.rollout.judge import Judge, Seen
+from vanerelay.rollout.plan import Loaded, Reached
+from vanerelay.rollout.record import Record, Unkept
+from vanerelay.rollout.stages import MAJORITY, Course, Do, Event, Heard, Step
+
+ASK_S = 6.0  # an answer may take that long: links may be slow
+ORDER_S = 10.0
+KEEPER_S = 60.0  # for the next program to become ready, or not
+HEARD = 8 * SECOND  # for which a manager's last word counts
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class Known:
+    """What was heard of one manager."""
+
+    state: words.State | None = None
+    at: int = 0
+    before: words.State | None = None  # the reading before, of the same process
+    before_at: int = 0
+    asking: bool = False
+    deaths: int = 0
+    restarts: int = 0  # that were ordered, and whose new process was not heard yet
+    seen: Seen | None = None  # since the last slice
+
+
+@dataclass(slots=True)
+class Ending:
+    """How it ended: done, back, fenced, unkept."""
+
+    how: str
+    why: str = ""
+    reached: list[str] = field(default_factory=list)
+
+
+class Controller:
+    """`say` is told a line for people; `done` fires with an Ending."""
+
+    def __init__(self, reactor: Any, loaded: Loaded, record: Record, say: Callable[[str], None]) -> None:
+        self._reactor, self._loaded, self._record, self._say = reactor, loaded, record, say
+        self._clock, self._links = Clock(), Links(reactor)
+        self.judge = Judge(loaded.guards, loaded.terms)
+        self.course = Course(loaded.plan)
+        self._known = {name: Known() for name in loaded.managers}
+        self._ordering = set[str]()
+        self.done: Deferred[Ending] = Deferred()
+        self._began = self._watched = 0
+        self._said, self._claimed, self._stopped, self._busy = "", False, False, False
+
+    def start(self, resumed: bool) -> Deferred[Ending]:
+        """From the record, if it holds a change that has not ended."""
+        if resumed:
+            self.course = Course.replayed(self._loaded.plan, self._record.events())
+            told = words.unpack(self._record.baseline(), self.judge.told().__class__)
+            if told is not None:
+                self.judge.restore(told)
+            self.judge.began(self._clock.now())
+        self._began = self._clock.now()
+        self._turn()
+        return self.done
+
+    # Taking it on: one controller at a time.
+
+    def _claim(self) -> None:
+        """A fence above all that is heard of, kept before it is used, and taken by more than half."""
+        heard = [known.state for known in self._known.values() if known.state is not None]
+        if len(heard) * MAJORITY <= len(self._known) or self._busy:
+            self._tell(f"{len(heard)} of {len(self._known)} managers heard: waiting for more than half")
+            return
+        fence = max([self._record.fence, *(state.fence for state in heard)]) + 1
+        self._record.claim(fence)
+        self._busy = True
+
+        def ended(taken: int) -> None:
+            self._busy = False
+            self._claimed = taken * MAJORITY > len(self._known)
+            if self._claimed:
+                self._tell(f"fence {fence} taken by {taken} of {len(self._known)} managers")
+
+        self._affirm(ended)
+
+    def _affirm(self, then: Callable[[int], None]) -> None:
+        """Asks all whether our fence still counts; `then` gets how many say so."""
+        order = words.pack(words.Order(self._record.fence, self._loaded.plan.name))
+
+        def asked(results: list[tuple[bool, Any]]) -> None:
+            if self._stopped:
+                return
+            answers = [words.unpack(body, words.Taken) for good, body in results if good]
+            higher = [one for one in answers if one is not None and one.fence > self._record.fence]
+            if higher and self._claimed:
+                self._end("fenced", higher[0].why)
+                return
+            then(sum(one is not None and one.taken for one in answers))
+
+        DeferredList(
+            [self._links.ask(one.address, "order", order, ASK_S) for one in self._loaded.managers.values()],
+            consumeErrors=True,
+        ).addCallback(asked)
+
+    # In turn.
+
+    def _turn(self) -> None:
+        if self._stopped:
+            return
+        self._reactor.callLater(self._loaded.terms.slice / UNITS, self._turn)
+        for name, one in self._loaded.managers.items():
+            if not self._known[name].asking:
+                self._ask(name, one)
+        try:
+            self._words()
+            if not self._claimed:
+                self._claim()
+                return
+            self._figures()
+            if not self._busy:
+                self._confirm()
+                self._go()
+        except Unkept as fault:
+            # What can't be recorded is not done; what is, goes on as it is.
+            self._tell(f"nothing is moved: {fault}")
+
+    def _words(self) -> None:
+        for word in self._record.said():
+            now = self._clock.now()
+            if word == "back" and not self.course.going_back:
+                self._note(Event("back", now, why="ordered by an operator"))
+            elif word in ("pause", "resume"):
+                self._note(Event(f"{word}d", now))
+                if word == "resume":
+                    self.judge.began(now)
+
+    def _ask(self, name: str, one: Reached) -> None:
+        known = self._known[name]
+        known.asking = True
+        asked: Deferred[Any] = self._links.ask(one.address, "state", words.pack(words.Asked()), ASK_S)
+        asked.addCallbacks(lambda body: self._told(name, body), lambda _: None)
+
+        def over(_: Any) -> None:
+            known.asking = False
+
+        asked.addBoth(over)
+
+    def _told(self, name: str, body: bytes) -> None:
+        state, known, now = words.unpack(body, words.State), self._known[name], self._clock.now()
+        if state is None or state.name != name:
+            return
+        was = known.state
+        if was is not None and was.started != state.started:
+            if known.restarts:
+                known.restarts -= 1
+            else:
+                known.deaths += 1
+            was = None
+        if was is not None:
+            known.before, known.before_at = was, known.at
+            known.seen = _joined(known.seen, _seen(state, was, (now - known.at) / UNITS))
+        known.state, known.at = state, now
+
+    def _heard(self) -> dict[str, Heard]:
+        now, found = self._clock.now(), dict[str, Heard]()
+        for name, known in self._known.items():
+            state = known.state
+            if state is None or now - known.at > HEARD:
+                continue
+            busy = 0.0
+            if known.before is not None and known.at > known.before_at:
+                span = (known.at - known.before_at) / UNITS
+                busy = (state.figures.cpu_s - known.before.figures.cpu_s) / span / max(0.01, state.cores)
+            found[name] = Heard(
+                self._loaded.runs(state.settings, state.release), state.state == "serving", busy
+            )
+        return found
+
+    def _figures(self) -> None:
+        """What came since the last slice, to the judge."""
+        now, course = self._clock.now(), self.course
+        seen = dict[str, Seen]()
+        for name, known in self._known.items():
+            if known.seen is not None or known.deaths:
+                one = known.seen or Seen({})
+                seen[name] = Seen(one.counts, one.memory, one.away, one.held, known.deaths)
+                known.seen, known.deaths = None, 0
+        if course.stage < 0:
+            self._watched = self._watched or now
+            self.judge.before(seen)
+        else:
+            settled = {name for name in seen if course.confirmed[name]}
+            old = course.fresh()
+            self.judge.during(now, seen, settled & set(course.new), settled & set(old), alone=not old)
+
+    def _confirm(self) -> None:
+        heard, now = self._heard(), self._clock.now()
+        for name, one in heard.items():
+            wanted = self.course.wants[name]
+            back = self.course.controls.get(name) is False and not self._known[name].restarts
+            if one.serving and wanted in one.runs and (not self.course.confirmed[name] or back):
+                self._note(Event("confirmed", now, name))
+
+    def _go(self) -> None:
+        now, course = self._clock.now(), self.course
+        if course.stage < 0 and not course.going_back and now - self._began < self._loaded.baseline:
+            self._tell(f"watching for {self._loaded.baseline / UNITS:.0f} s before anything is changed")
+            return
+        step = course.next(now, self._heard())
+        if step.do is Do.WAIT:
+            self._tell(step.why)
+        elif step.do is Do.STAGE:
+            if course.stage < 0:
+                self._record.keep_baseline(words.pack(self.judge.told()))
+            self._note(Event("stage", now, stage=course.stage + 1))
+            self.judge.began(now)
+        elif step.do is Do.UNCLEAR:
+            self._note(course.unclear(now, step.why))
+        elif step.do is Do.JUDGE:
+            verdict = self.judge.verdict(now, course.new)
+            event = course.judged(now, verdict, step.why)
+            if event is not None:
+                self._note(event)
+            else:
+                self._tell(f"stage {self._stage()}: " + (step.why or "; ".join(verdict.why) or "looked at"))
+        elif step.do is Do.ENDED:
+            self._note(Event("ended", now, to=step.to))
+            self._end(step.to, self.course.why)
+        else:
+            self._order(now, step)
+
+    def _stage(self) -> str:
+        stages = self._loaded.plan.stages
+        return stages[self.course.stage].name if 0 <= self.course.stage < len(stages) else "before the first"
+
+    def _order(self, now: int, step: Step) -> None:
+        """Recorded, then affirmed by more than half, then sent: in this order."""
+        name = step.manager
+        if name in self._ordering:
+            return
+        control = step.do is Do.CONTROL
+        number = self._note(
+            Event("control" if control else "ordered", now, name, step.to, self.course.stage, step.why)
+        )
+        self._busy = True
+
+        def affirmed(taken: int) -> None:
+            self._busy = False
+            if taken * MAJORITY <= len(self._known):
+                self._tell(f"fence {self._record.fence} affirmed by {taken} only: {name} is not ordered now")
+                return
+            self._send(name, step.to, control, number)
+
+        self._affirm(affirmed)
+
+    def _send(self, name: str, to: str, control: bool, number: int) -> None:
+        loaded, one = self._loaded, self._loaded.managers[name]
+        restarts = loaded.plan.restarts
+        what = "restart" if control else "program" if restarts else "settings"
+        order = words.Order(self._record.fence, loaded.plan.name, what, loaded.bodies[to], number)
+        self._ordering.add(name)
+        if restarts:
+            self._known[name].restarts = 1
+        address = one.keeper if restarts else one.address
+        asked: Deferred[Any] = self._links.ask(
+            address, "order", words.pack(order), KEEPER_S if restarts else ORDER_S
+        )
+
+        def answered(body: bytes) -> None:
+            taken = words.unpack(body, words.Taken)
+            if taken is None or taken.taken or self._stopped:
+                return
+            self._known[name].restarts = 0
+            if taken.fence > self._record.fence:
+                self._end("fenced", taken.why)
+            elif taken.failed and not self.course.going_back:
+                self._note(self.course.failed(self._clock.now(), name, taken.why))
+            else:
+                self._tell(f"{name}: {taken.why}")
+
+        def over(_: Any) -> None:
+            self._ordering.discard(name)
+
+        asked.addCallbacks(answered, lambda fault: self._tell(f"{name}: {fault.getErrorMessage()}"))
+        asked.addErrback(lambda fault: self._tell(f"nothing is moved: {fault.getErrorMessage()}")).addBoth(
+            over
+        )
+
+    # What is said and kept.
+
+    def _note(self, event: Event) -> int:
+        """Recorded, then so; its number. Raises Unkept."""
+        number = self._record.add(event)
+        self.course.apply(event)
+        self._tell(line(event, self._loaded))
+        return number
+
+    def _tell(self, text: str) -> None:
+        if text and text != self._said:
+            self._said = text
+            self._say(text)
+
+    def _end(self, how: str, why: str = "") -> None:
+        if not self._stopped:
+            self.stop()
+            self.done.callback(Ending(how, why, sorted(self.course.ever)))
+
+    def stop(self) -> None:
+        self._stopped = True
+        self._links.stop()
+
+
+def line(event: Event, loaded: Loaded | None = None) -> str:
+    """An event for people."""
+    stages = loaded.plan.stages if loaded is not None else ()
+    stage = stages[event.stage].name if event.stage < len(stages) else str(event.stage)
+    words_ = {
+        "ordered": f"{event.manager}: ordered to {event.to}",
+        "confirmed": f"{event.manager}: confirmed",
+        "control": f"{event.manager}: restarted as it is, to compare with",
+        "stage": f"stage {stage} begins",
+        "judged": f"stage {stage} passed",
+        "back": "going back",
+        "held": f"held at stage {stage}",
+        "ended": f"ended: {event.to}",
+    }
+    return words_.get(event.what, event.what) + (f" ({event.why})" if event.why else "")
+
+
+def _seen(now: words.State, was: words.State, seconds: float) -> Seen:
+    """What one process did between two readings."""
+    old = was.figures.groups
+    counts = {
+        name: words.count(group, old.get(name, words.Group())) for name, group in now.figures.groups.items()
+    }
+    ended = sum(count.ended for count in counts.values())
+    held = (now.figures.held - was.figures.held) / ended if ended else 0.0
+    return Seen(counts, now.figures.memory, now.figures.away, held)
+
+
+def _joined(one: Seen | None, other: Seen) -> Seen:
+    if one is None:
+        return other
+    names = one.counts.keys() | other.counts.keys()
+    empty = words.count(words.Group(), words.Group())
+    counts = {name: one.counts.get(name, empty) + other.counts.get(name, empty) for name in names}
+    return Seen(counts, other.memory, other.away, max(one.held, other.held), one.deaths + other.deaths)
--- /dev/null
+++ b/vanerelay/rollout/hand.py
@@ -0,0 +1,159 @@
+"""A manager's side of a rolling change: its figures, and orders that it takes. A thin driver; whether an
+order is heeded stands in `fence.py`."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from vanerelay.fleet.links import Refused
+from vanerelay.rollout import words
+from vanerelay.rollout.fence import Fence, Order, Store
+from vanerelay.rollout.judge import BUCKETS, bucket
+
+if TYPE_CHECKING:
+    from vanerelay.fleet.service import Fleet
+    from vanerelay.net.service import Service
+
+log = structlog.get_logger()
+
+RELEASE = "VANERELAY_RELEASE"  # the name that a keeper started us under
+PAGE = resource.getpagesize()
+GROUPS = 64  # service groups that are told apart
+HELD_S = 0.5  # between readings of what is held at engines
+
+
+class Tally:
+    """Sums of what became of batches, by service group."""
+
+    def __init__(self) -> None:
+        self.groups = dict[str, list[Any]]()  # as the fields of words.Group
+
+    def answered(self, group: str, utility: float, code: int, tenths: int, dispatches: int) -> None:
+        """`utility`: the part of the batch's utility that its answer earned; `code` as in the frames;
+        `tenths`: of a millisecond since it came."""
+        one = self.groups.get(group)
+        if one is None and len(self.groups) >= GROUPS:
+            return  # names that nobody settled, from clients that make them up
+        if one is None:
+            one = self.groups[group] = [0, 0.0, 0, 0, 0, 0, [0] * BUCKETS]
+        one[0] += 1
+        one[1] += utility
+        one[2] += code == 2
+        one[3] += code == 1
+        one[4] += code == 0 and utility < 1.0
+        one[5] += dispatches
+        if code == 0:
+            one[6][bucket(tenths / 10)] += 1
+
+    def told(self) -> dict[str, words.Group]:
+        return {name: words.Group(*one) for name, one in self.groups.items()}
+
+
+class Hand:
+    """`settle`: puts settings in force, and gives why it can't; `memory`: bytes told."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        fleet: Fleet,
+        service: Service,
+        settle: Callable[[dict[str, Any]], str | None],
+        store: Store,
+        memory: int,
+        cores: float,
+    ) -> None:
+        self._reactor, self._fleet, self._service, self._settle = reactor, fleet, service, settle
+        self._memory, self._cores, self.tally = memory, cores, Tally()
+        self._held, self._store = 0.0, store
+        self.fence = Fence(store.fence())
+        fleet.seen.append(lambda member: self._learn(member.orders))
+        if self.fence.told:
+            fleet.say(orders=self.fence.told)
+        service.tally = self.tally
+        fleet.links.handlers |= {"state": self._state, "order": self._order}
+        self._read_held()
+
+    def _learn(self, told: str) -> None:
+        if self.fence.learn(told):
+            self._fleet.say(orders=self.fence.told)
+
+    def _read_held(self) -> None:
+        self._held += self._service.gateway.pool.threads * HELD_S
+        self._reactor.callLater(HELD_S, self._read_held)
+
+    def _state(self, body: bytes) -> bytes:
+        asked = words.unpack(body, words.Asked)
+        own = self._fleet.alive.own
+        figures = words.Figures()
+        if asked is None or asked.figures:
+            usage = resource.getrusage(resource.RUSAGE_SELF)
+            away = sum(not condition.sound for condition in self._service.gateway.conditions())
+            figures = words.Figures(
+                self.tally.told(),
+                self._resident() / self._memory,
+                usage.ru_utime + usage.ru_stime,
+                away,
+                self._held,
+            )
+        return words.pack(
+            words.State(
+                own.name,
+                own.program,
+                own.settings,
+                own.state,
+                own.incarnation,
+                self.fence.highest,
+                int(time.time() * 1000),
+                os.environ.get(RELEASE, ""),
+                self._cores,
+                figures,
+            )
+        )
+
+    def _order(self, body: bytes) -> bytes:
+        told = words.unpack(body, words.Order)
+        if told is None:
+            raise Refused("unreadable")
+        order, alive = Order(told.fence, told.name, told.number), self._fleet.alive
+        alone = len(alive.members) == 1
+        why = self.fence.refuses(order, alive.replaced, self._store.lasts or alive.has_joined or alone)
+        if why is None and told.fence > self.fence.highest:
+            # Kept before it is heeded: what we said may have been the last that made up a majority.
+            why = self._store.keep(self.fence.after(order))
+            if why is None:
+                self._learn(self.fence.after(order))
+        if why is not None:
+            log.warning("order refused", change=told.name, fence=told.fence, why=why)
+            return words.pack(words.Taken(self.fence.highest, False, why=why))
+        self.fence.heed(order)
+        if told.what == "claim":
+            return words.pack(words.Taken(self.fence.highest))
+        if told.what != "settings":
+            return words.pack(words.Taken(self.fence.highest, False, why=f"a manager knows no {told.what}"))
+        return words.pack(self._settings(told))
+
+    def _settings(self, told: words.Order) -> words.Taken:
+        try:
+            settings = json.loads(told.body)
+        except ValueError as fault:
+            return words.Taken(self.fence.highest, False, True, f"settings: {fault}")
+        why = self._settle(settings)
+        if why is not None:
+            return words.Taken(self.fence.highest, False, True, why)
+        why = self._store.ordered(settings)
+        if why is not None:
+            log.warning("ordered settings hold until a restart only", why=why)
+        log.info("settings ordered", change=told.name, fence=told.fence)
+        return words.Taken(self.fence.highest)
+
+    @staticmethod
+    def _resident() -> int:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * PAGE
--- /dev/null
+++ b/vanerelay/rollout/parts.py
@@ -0,0 +1,21 @@
+"""The `rollout` block of the operators' file: this manager takes orders of a rolling change."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from vanerelay.options import Block
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """`folder`: where the fence and ordered settings are kept; empty: nowhere, others know the fence."""
+
+    folder: str = ""
+
+
+def parts(block: Block) -> Parts:
+    """Raises BadOptions with the line of what is wrong."""
+    found = block.fill(Parts)
+    block.done()
+    return found
