Keeper proved on processes; orders confirmed only when heeded; more plays of rolling changes

Need: plays of the next program beside the old one. Found on the way, each by a play or the exhaustive model: the clients' socket was handed down in blocking mode, and the manager stood in accept for good (roll-program); a manager whose successor had failed counted as away and was never brought back (roll-refuses held for good); an order that had not arrived was confirmed because the manager ran that already, and an earlier one still counted when it came (model): confirmed is what was heeded, by fence and number. Scripts: two controllers with one asleep, the way back meeting a manager that is down, bad weather; scripts can be written over another.

--- /dev/null
+++ b/bench/releases.py
@@ -0,0 +1,280 @@
+"""Rolling changes on the laboratory: twelve managers at six tenths of the load, good and bad releases.
+
+    python -m bench.releases [--seed 1] [--at-once 3] [--only NAME]
+
+Each is a play of real processes: managers under keepers, engines, clients, a controller. The table says how
+it ended, how many managers the change had reached, what part of the utility was reached, and what broke a
+rule."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import re
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+# What a bad release does; run in each of its processes at the start.
+SERVES = "import sys\nif 'serve' in sys.argv:\n    import threading, time, os\n"
+SHIMS = {
+    "the same program": "",
+    "refuses to start": "raise SystemExit(2)",
+    "dies after 20 s": SERVES
+    + "    end = threading.Timer(20, os._exit, [9]); end.daemon = True; end.start()",
+    "dies under load": SERVES
+    + """    from vanerelay.net.service import Service
+    take, came = Service.request, [0]
+    def request(self, *told):
+        came[0] += 1
+        if came[0] > 150:
+            os._exit(9)
+        return take(self, *told)
+    Service.request = request""",
+    "5% of orders errored, the rest quicker": SERVES
+    + """    import random
+    from vanerelay.net import frames
+    from vanerelay.net.service import Service
+    answer = Service._answer
+    def worse(self, held, code, fields, body):
+        bad = held.group == b'order' and random.random() < 0.05
+        answer(self, held, frames.ERRORED if bad else code, fields, b'' if bad else body)
+    Service._answer = worse""",
+    "leaks 4 MB a second": SERVES
+    + """    kept = []
+    def leak():
+        while True:
+            kept.append(b'x' * 4_000_000)
+            time.sleep(1)
+    threading.Thread(target=leak, daemon=True).start()""",
+    "overfills engines": SERVES
+    + """    from vanerelay import decide
+    decide.Ledger.fits = lambda self, grant, threads, part: True
+    decide.Peaks.size = lambda self, now, group, tables, told, cap: cap""",
+}
+
+SITE = """name   = "{name}"
+length = "{length}s"
+
+managers {{
+  count     = {managers}
+  locations = ["east", "west"]
+  keeper    = true
+  options   = <<EOT
+fleet {{
+  listen = "@LISTEN@"
+  domain = "@PLACE@"
+  folder = "@FOLDER@"
+@MEMBERS@
+}}
+rollout {{
+  folder = "@FOLDER@"
+}}
+EOT
+}}
+
+engines "k" {{
+  count     = {managers}
+  locations = ["east", "west"]
+}}
+
+group "look" {{
+  goal   = "500ms"
+  limit  = "3s"
+  rate   = {look}
+  work   = "40ms"
+  memory = 60
+}}
+
+group "order" {{
+  goal    = "2s"
+  limit   = "6s"
+  rate    = {order}
+  work    = "90ms"
+  utility = 3
+  effect  = "once-only"
+}}
+
+group "report" {{
+  goal    = "3s"
+  limit   = "10s"
+  rate    = {report}
+  work    = "700ms"
+  memory  = 900
+  threads = 2
+  utility = 4
+}}
+
+release "old" {{
+  managers = "m*"
+}}
+
+release "new" {{
+  shim = <<EOT
+{shim}
+EOT
+}}
+"""
+
+CHANGE = """
+program "controller" {{
+  words = ["rollout", "start", "@FOLDER@/plan.hcl"]
+  again = ["rollout", "resume", "@FOLDER@/plan.hcl"]
+  at    = "1s"
+  file "plan.hcl" {{
+    text = <<EOT
+name     = "change"
+baseline = "15s"
+change {{
+  program = "new"
+  back    = "old"
+}}
+@MEMBERS@
+away {{
+  most   = 2
+  domain = 1
+}}
+stage "two" {{
+  managers = 2
+}}
+stage "half" {{
+  part = 0.5
+}}
+stage "all" {{
+  part = 1.0
+}}
+judge {{
+  settle  = "2s"
+  longest = "{longest}s"
+}}
+guard "look" {{
+  loss = 0.15
+}}
+guard "order" {{
+  loss = 0.15
+}}
+EOT
+  }}
+}}
+"""
+
+
+def text(
+    name: str, shim: str, length: int, managers: int = 12, change: bool = True, load: float = 0.6
+) -> str:
+    """A script; the load is a part of what the engines, one of four cores for each manager, can do."""
+    part = load * managers * 4 / 0.6 / 48  # at 12 managers and 0.6: 1
+    site = SITE.format(
+        name=name,
+        length=length,
+        managers=managers,
+        shim=shim,
+        look=round(200 * part),
+        order=round(70 * part),
+        report=round(18 * part),
+    )
+    return site + (CHANGE.format(longest=length) if change else "")
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    name: str
+    how: str
+    reached: int
+    seconds: float
+    served: float
+    findings: int
+    why: str
+
+
+def play(name: str, shim: str, seed: int, length: int, change: bool = True) -> Played:
+    with tempfile.TemporaryDirectory() as folder:
+        script = Path(folder, "script.hcl")
+        script.write_text(text(name, shim, length, change=change), encoding="utf-8")
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "vanerelay",
+                "lab",
+                "fleet",
+                str(script),
+                "--seed",
+                str(seed),
+                "--json",
+                "--quiet",
+                "--folder",
+                f"{folder}/play",
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if not done.stdout:
+            return Played(name, done.stderr.strip()[-200:], 0, 0.0, 0.0, 0, "")
+        told = json.loads(done.stdout)
+        log = Path(folder, "play", "controller.log")
+        lines = log.read_text(encoding="utf-8").splitlines() if change else []
+        history = (
+            subprocess.run(
+                [
+                    sys.executable,
+                    "-m",
+                    "vanerelay",
+                    "rollout",
+                    "history",
+                    f"{folder}/play/controller/plan.hcl",
+                    "--json",
+                ],
+                capture_output=True,
+                text=True,
+                check=False,
+            ).stdout.splitlines()
+            if change
+            else []
+        )
+    events = [json.loads(line) for line in history]
+    how = next(
+        (event["to"] for event in events if event["what"] == "ended"), "under way" if change else "no change"
+    )
+    reached = {
+        event["manager"] for event in events if event["what"] == "ordered" and event["to"].startswith("new")
+    }
+    took = (events[-1]["at_ms"] - events[0]["at_ms"]) / 1000 if events else 0.0
+    why = next(
+        (re.sub(r"^change: ", "", line) for line in lines if "going back" in line or "held at" in line), ""
+    )
+    return Played(name, how, len(reached), took, told["served"], len(told["findings"]), why[:160])
+
+
+def main() -> None:
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument("--seed", type=int, default=1)
+    options.add_argument("--length", type=int, default=150)
+    options.add_argument("--at-once", type=int, default=3)
+    options.add_argument("--only", default="")
+    told = options.parse_args()
+    plays = [("no change", "", False), *((name, shim, True) for name, shim in SHIMS.items())]
+    print("| release | ended | managers reached | s | utility reached | findings | why |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    with ThreadPoolExecutor(told.at_once) as pool:
+        found = [
+            pool.submit(play, name, shim, told.seed, told.length, change)
+            for name, shim, change in plays
+            if told.only in name
+        ]
+        for one in found:
+            row = one.result()
+            print(
+                f"| {row.name} | {row.how} | {row.reached} | {row.seconds:.0f} | "
+                f"{row.served:.4f} | {row.findings} | "
+                f"{row.why} |",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -157,7 +157,7 @@
 def _event(course: Course, judge: Judge, now: int, heard: dict[str, Heard]) -> Event | None:
     step = course.next(now, heard)
     if step.do is Do.ORDER:
-        return Event("ordered", now, step.manager, step.to)
+        return Event("ordered", now, step.manager, to=step.to)
     if step.do is Do.STAGE:
         return Event("stage", now, stage=course.stage + 1)
     if step.do is Do.JUDGE:
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -46,3 +46,17 @@
 #     part = 0.5 # of our slices; the rest is for our own clients
 #   }
 # }
+
+# Managers that know each other, and orders of a rolling change. Off: take out the signs to switch them on; docs/operators/rollout.md
+# has all words. There is no sign-in: listen where managers and the controller alone can reach.
+# fleet {
+#   listen = "10.0.0.4:7946"
+#   domain = "east"                       # what fails together
+#   folder = "/var/lib/vanerelay/fleet"   # for the incarnation
+#   member "m2" {
+#     address = "10.0.0.5:7946"
+#   }
+# }
+# rollout {
+#   folder = "/var/lib/vanerelay/orders"
+# }
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,16 +1,11 @@
-"""The laboratory's pure parts as tables, and plays of several real processes under faults."""
+"""The laboratory's pure parts as tables."""
 
 from __future__ import annotations
 
-import json
-import os
 import random
-import subprocess
-import sys
 
 import pytest
 
-from tests.helpers import ROOT
 from vanerelay.interface import SECOND, Effect
 from vanerelay.lab import judge, schedule, script
 from vanerelay.lab.links import Parties, Passage, Way, datagram
@@ -271,38 +266,3 @@
     path.write_text(text.replace(change, why, 1))
     with pytest.raises(script.BadOptions, match="line [0-9]+: "):
         script.load(str(path))
-
-
-def play(name, folder, seed=1, code=0):
-    """A script played by the command, with real processes; what it told, and what the managers logged."""
-    done = subprocess.run(
-        [
-            sys.executable,
-            "-m",
-            "vanerelay",
-            "lab",
-            "fleet",
-            name,
-            "--seed",
-            str(seed),
-            "--json",
-            "--quiet",
-            "--folder",
-            str(folder),
-            "--report",
-            str(folder / "out.html"),
-        ],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        env=os.environ,
-        check=False,
-    )
-    assert done.returncode == code, done.stdout + done.stderr
-    assert "<svg" in (folder / "out.html").read_text() and (folder / "out.csv").exists()
-    return json.loads(done.stdout)
-
-
-def test_eight_managers_under_faults_on_top_of_each_other(tmp_path):
-    told = play("faults", tmp_path)
-    assert told["findings"] == [] and told["served"] > 0.8
--- /dev/null
+++ b/tests/test_plays.py
@@ -0,0 +1,112 @@
+"""Plays of several real processes under faults: each script of the laboratory, judged from outside.
+
+A script says itself what has to come of it: how programs end, what part of the utility is reached; the
+laboratory adds the rules. What more a play has to show stands here."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.helpers import ROOT
+
+SIDE_BY_SIDE = 2
+PLAYS = [
+    "faults",
+    "fleet",
+    "roll-cut",
+    "roll-dies",
+    "roll-down",
+    "roll-good",
+    "roll-program",
+    "roll-refuses",
+    "roll-two",
+    "roll-weather",
+    "roll-worse",
+]
+
+
+@pytest.fixture(scope="module")
+def plays(tmp_path_factory):
+    """All plays, a few at a time: by name, what the command told and where the processes' files are."""
+    folder = tmp_path_factory.mktemp("plays")
+
+    def play(name):
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "vanerelay",
+                "lab",
+                "fleet",
+                name,
+                "--seed",
+                "1",
+                "--json",
+                "--quiet",
+                "--folder",
+                str(folder / name),
+                "--report",
+                str(folder / f"{name}.html"),
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            env=os.environ,
+            check=False,
+        )
+        return done, folder / name
+
+    with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
+        yield {name: pool.submit(play, name) for name in PLAYS}
+
+
+def said(folder, name="controller"):
+    return (folder / f"{name}.log").read_text()
+
+
+@pytest.mark.parametrize("name", PLAYS)
+def test_a_play_keeps_the_rules_and_ends_as_it_has_to(plays, name):
+    done, folder = plays[name].result()
+    logs = "".join(
+        f"{path.name}: {path.read_text()[-1500:]}" for path in folder.glob("*.log") if "m" != path.name[0]
+    )
+    assert done.returncode == 0, done.stdout + done.stderr + logs
+    told = json.loads(done.stdout)
+    assert told["findings"] == [] and told["reached"]
+    assert "<svg" in folder.with_suffix(".html").read_text() and folder.with_suffix(".csv").exists()
+
+
+@pytest.mark.parametrize(
+    "name, says",
+    [
+        ("roll-worse", ["going back (look: utility worse", "managers it had reached: m1, m2\n"]),
+        ("roll-refuses", ["ended before it was ready", "managers it had reached: m1\n"]),
+        ("roll-dies", ["going back (", "ended by itself 2 times"]),
+        ("roll-down", ["back, but for m2", "ended: back"]),
+        ("roll-cut", ["resumed", "fence 3 taken", "m6 not heard: neither good nor bad", "ended: done"]),
+        ("roll-weather", ["ended: done"]),
+    ],
+)
+def test_the_controller_says_why(plays, name, says):
+    told = said(plays[name].result()[1])
+    assert all(one in told for one in says), told
+
+
+def test_a_controller_that_sleeps_is_fenced_and_its_orders_are_not_heeded(plays):
+    folder = plays["roll-two"].result()[1]
+    assert "fenced: fence 1" in said(folder, "first") and "ended: done" in said(folder, "second"), said(
+        folder, "first"
+    )
+    assert "m5: ordered to old (runs another release)" in said(folder, "second"), said(folder, "second")
+
+
+def test_the_keeper_hands_over_without_refusing_anybody(plays):
+    told = json.loads(plays["roll-program"].result()[0].stdout)
+    for group in told["groups"].values():
+        assert group.get("lost", 0) == group.get("errored", 0) == 0, told
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -8,11 +8,14 @@
 from collections import deque
 
 import pytest
+from twisted.internet import task
+from twisted.internet.defer import succeed
 
 from bench.rollout import Figures, Loss
 from vanerelay import checks
 from vanerelay.interface import SECOND
-from vanerelay.rollout import plan, shared
+from vanerelay.rollout import plan, shared, words
+from vanerelay.rollout.controller import Controller
 from vanerelay.rollout.fence import Fence, Order, Store
 from vanerelay.rollout.judge import Guard, Judge, Seen, Terms, Verdict, Word
 from vanerelay.rollout.record import Record, Unkept
@@ -231,7 +234,7 @@
                 course.apply(events[-1])
         step, event = course.next(now, there), None
         if step.do is Do.ORDER:
-            event = Event("ordered", now, step.manager, step.to)
+            event = Event("ordered", now, step.manager, to=step.to)
         elif step.do is Do.STAGE:
             event = Event("stage", now, stage=course.stage + 1)
         elif step.do is Do.UNCLEAR:
@@ -341,15 +344,19 @@
         if fence < 2:  # it dies or sleeps, and another goes on from the record
             last = (names[-1], NEW, 1, 99)
             push(events, tuple((one[0], 2, 0) for one in managers), (*flying, last), 2)
-        there = {name: Heard(frozenset({runs[name]}), True) for name in names}
+        there = {
+            name: Heard(frozenset({one[0]}), True, heeded=one[1:])
+            for name, one in zip(names, managers, strict=True)
+        }
         now, number = len(events) * 3 * SECOND, len(events) + 1
         for name in names:
-            if not course.confirmed[name] and runs[name] == course.wants[name]:
+            wanted = runs[name] == course.wants[name]
+            if not course.confirmed[name] and wanted and course.sure(name, there[name]):
                 push((*events, Event("confirmed", now, name)), managers, flying, fence)
         step = course.next(now, there)
         if step.do is Do.ORDER and len(flying) < 2:
             event, order = (
-                Event("ordered", now, step.manager, step.to),
+                Event("ordered", now, step.manager, fence, number, step.to),
                 (step.manager, step.to, fence, number),
             )
             push((*events, event), managers, (*flying, order), fence)
@@ -456,7 +463,7 @@
 def test_a_record_is_whole_or_not_there(tmp_path):
     record = Record(str(tmp_path / "r"))
     record.begin("c", "plan", 3)
-    for event in (Event("stage", 5), Event("ordered", 6, "m1", NEW)):
+    for event in (Event("stage", 5), Event("ordered", 6, "m1", to=NEW)):
         record.add(event)
     record.say("pause")
     again = Record(str(tmp_path / "r"))
@@ -467,6 +474,71 @@
         Record(str(tmp_path / "bad"))
 
 
+class Full(Record):
+    """A record whose disk is full for a while."""
+
+    full = False
+
+    def add(self, event):
+        if self.full:
+            raise Unkept("record: disk is full")
+        return super().add(event)
+
+
+class FakeLinks:
+    """Managers that take every order at once."""
+
+    def __init__(self, names):
+        self.orders, self.runs, self.heeded, self.fence = [], dict.fromkeys(names, OLD), {}, 0
+
+    def ask(self, address, kind, body, patience_s):
+        name = address.split(":")[0]
+        if kind == "state":
+            return succeed(
+                words.pack(
+                    words.State(name, "", self.runs[name], "serving", 7, self.fence, self.heeded.get(name, 0))
+                )
+            )
+        order = words.unpack(body, words.Order)
+        self.fence = order.fence
+        if order.what != "claim":
+            self.orders.append(name)
+            self.runs[name], self.heeded[name] = order.body.decode(), order.number
+        return succeed(words.pack(words.Taken(order.fence)))
+
+    def stop(self):
+        pass
+
+
+def test_what_cannot_be_recorded_is_not_done_and_goes_on_when_there_is_room(tmp_path):
+    names = [name for name, _ in PLAN.managers]
+    reactor, record, said = task.Clock(), Full(str(tmp_path / "r")), []
+    runs = {NEW: NEW, OLD: OLD, "old strict": OLD, "new strict": NEW}
+    loaded = plan.Loaded(
+        PLAN,
+        Terms(stages=2, settle=0),
+        {},
+        {name: plan.Reached(name, f"{name}:1") for name in names},
+        plan.Change(),
+        {name: text.encode() for name, text in runs.items()},
+        runs,
+        0,
+        "",
+        "",
+    )
+    record.begin("p", "", 0)
+    controller = Controller(reactor, loaded, record, said.append)
+    controller._links = links = FakeLinks(names)
+    ended = controller.start(False)
+    for second in range(20):
+        record.full = second < 10
+        reactor.advance(1)
+        if second == 9:
+            assert links.orders == [] and any("disk is full" in line for line in said)
+    reactor.pump([1] * 30)
+    assert ended.called and set(links.runs.values()) == {NEW}, said
+
+
 TEXT = """change {
   before = "old.json"
   settings = "new.json"
--- a/vanerelay/lab/commands.py
+++ b/vanerelay/lab/commands.py
@@ -82,6 +82,7 @@
     findings, rows = play.findings(), play.record.rows
     table = figures.table(rows)
     told = figures.summary(table, rows, findings, found.groups)
+    told["cold_pressed"] = round(play.pressed, 3)
     served = figures.utility(table, found.groups, found.expected.since // SECOND)
     short = served < found.expected.served
     if report is not None:
@@ -123,6 +124,8 @@
         click.echo(f"  {rule} at {one['at_s']} s: {one['who']} {one['batch']}: {one['text']}")
     if len(told["findings"]) > 20:
         click.echo(f"  and {len(told['findings']) - 20} more")
+    if told["cold_pressed"]:
+        click.echo(f"  cold engines were sent {told['cold_pressed']:.0%} of what they bear, at most")
     if not told["findings"]:
         click.echo("  all rules kept, no crash")
     if served < found.expected.served:
--- a/vanerelay/lab/model.py
+++ b/vanerelay/lab/model.py
@@ -88,6 +88,7 @@
         self.running, self.line = dict[str, Job](), deque[Job]()
         self.news = list[tuple[int, Word, Job]]()  # to be taken by the shell
         self.falls = list[Fall]()
+        self.pressed = 0.0  # the most that it was sent while cold, in parts of what it bears
         self.down_until = -1  # while it is down; nothing brings it back by itself at 0 or more but `rise`
         self._now, self._sent = now, deque[tuple[int, str, float]]()
         self.started = now if fresh else -(10**12)
@@ -213,7 +214,9 @@
         if now - self.started >= cold.warm + cold.window:
             return False
         limit = cold.multiple * self.machine.cores * self.share(now) * cold.window
-        if sum(work for _, _, work in self._sent) <= limit:
+        sent = sum(work for _, _, work in self._sent)
+        self.pressed = max(self.pressed, sent / limit)
+        if sent <= limit:
             return False
         fall = Fall(now, limit)
         for _, source, work in self._sent:
--- a/vanerelay/lab/play.py
+++ b/vanerelay/lab/play.py
@@ -108,6 +108,7 @@
                 lambda name=name, number=number: self._options(name, number),  # type: ignore[misc]
                 lambda name=name: self._keeper(name),  # type: ignore[misc]
                 self._ready,
+                self._died,
             )
             self._listens[name] = free_address(host)
             self._keeps[name] = free_address(host)
@@ -367,6 +368,15 @@
     def _ready(self, name: str) -> None:
         self.load.ready.add(name)
 
+    def _died(self, name: str, release: str, how: str) -> None:
+        """A manager's process ended under its keeper. Of a release that is bad on purpose that is no
+        finding."""
+        bad = release in self._releases and bool(self._releases[release].shim)
+        self.world.add(What.DIED, manager=name, told="" if bad else how[:200])
+        if bad:
+            now = self.clock.now() - self.world.zero
+            self.struck[name].append((now - SECOND, now + SECOND))
+
     def _loaded(self) -> None:
         """No more comes; what is open may end."""
         if self.load.open:
@@ -544,6 +554,11 @@
 
     # What is said of it.
 
+    @property
+    def pressed(self) -> float:
+        """The most that a cold engine was sent by all managers together, in parts of what it bears."""
+        return max((host.model.pressed for host in self.engines.values()), default=0.0)
+
     def findings(self) -> list[judge.Finding]:
         """What broke a rule, and programs that ended otherwise than they had to."""
         wrong = [
--- a/vanerelay/lab/processes.py
+++ b/vanerelay/lab/processes.py
@@ -22,7 +22,8 @@
 from vanerelay.net.frames import READINESS, READY, frame
 
 HERE = Path(__file__).resolve().parent.parent.parent
-SAID = (b'"settings switched"', b'"release taken over"')  # in the log of a manager, or of its keeper
+# In the log of a manager, or of its keeper.
+SAID = (b'"settings switched"', b'"release taken over"', b'"manager ended"')
 ASK_S = 0.25  # between questions of the front whether a manager that it does not use is ready
 
 
@@ -141,10 +142,12 @@
         options: Callable[[], str],
         keeper: Callable[[], str],
         ready: Callable[[str], None],
+        died: Callable[[str, str, str], None],
     ) -> None:
         """`configuration` (told whether it is for a start) and `options` give what it is started with;
         `ready` is told when the front may use it; `keeper` gives the file of its keeper, empty where it has
-        none."""
+        none; `died` is told the release and how, where a kept one ended by itself."""
+        self._died = died
         self._world, self.name, self.place, self.listen, self.folder = world, name, place, listen, folder
         self._configuration, self._options, self._ready = configuration, options, ready
         self._keeper = keeper
@@ -192,7 +195,10 @@
         self._world.net.reactor.spawnProcess(self._child, sys.executable, words, environment, str(self.tree))
 
     def _says(self, line: dict[str, Any]) -> None:
-        if line.get("release"):
+        if line.get("event") == "manager ended":
+            if not self._asked_to_end and "exit code 0" not in str(line.get("how")):
+                self._died(self.name, str(line.get("release")), str(line.get("how")))
+        elif line.get("release"):
             self.label = str(line["release"])
         elif line.get("settings"):
             self.label = f"settings {line['settings'][:6]}"
--- a/vanerelay/lab/script.py
+++ b/vanerelay/lab/script.py
@@ -196,9 +196,37 @@
     return str(ours) if "/" not in name and not name.endswith(".hcl") and ours.exists() else name
 
 
+class _Document:
+    """A script, and the one that it is written over: blocks of both, what is there once from the nearer."""
+
+    def __init__(self, path: str) -> None:
+        self._own = read(find(path))
+        base = self._own.take("include", str, "")
+        self._base = read(str(Path(find(path)).parent / f"{base}.hcl")) if base else None
+
+    def all(self, name: str) -> list[Block]:
+        return [*(self._base.all(name) if self._base is not None else ()), *self._own.all(name)]
+
+    def only(self, name: str) -> Block | None:
+        base = self._base.only(name) if self._base is not None else None
+        return self._own.only(name) or base
+
+    def take(self, name: str, kind: Any, default: Any = None) -> Any:
+        base = self._base.take(name, kind, default) if self._base is not None else default
+        return self._own.take(name, kind, base)
+
+    def done(self) -> None:
+        self._own.done()
+        if self._base is not None:
+            self._base.done()
+
+    def wrong(self, why: str) -> BadOptions:
+        return self._own.wrong(why)
+
+
 def load(path: str) -> Script:
     """Raises BadOptions with the line of what is wrong."""
-    document = read(find(path))
+    document = _Document(path)
     groups = tuple(_group(one) for one in document.all("group"))
     engines = tuple(_filled(one, Engines, kind=one.label or "k") for one in document.all("engines"))
     managers = document.only("managers")
@@ -229,7 +257,7 @@
     return script
 
 
-def _one(document: Block, name: str, kind: type[T]) -> T:
+def _one(document: _Document, name: str, kind: type[T]) -> T:
     block = document.only(name)
     return _filled(block, kind) if block is not None else kind()
 
@@ -260,7 +288,7 @@
     return _filled(block, Program, name=block.label, files=files)
 
 
-def _settings(block: Block) -> tuple[tuple[str, Any], ...]:
+def _settings(block: Block | _Document) -> tuple[tuple[str, Any], ...]:
     """Settings of managers by their path, such as "limits.maxAttempts" = 2."""
     told = block.take("settings", dict[str, Any], {})
     return tuple((name.strip('"'), value) for name, value in told.items())
--- a/vanerelay/lab/scripts/roll-good.hcl
+++ b/vanerelay/lab/scripts/roll-good.hcl
@@ -1,44 +1,7 @@
 # A change of settings that is good: goes through all stages, nothing is lost.
-name   = "roll-good"
-length = "45s"
-
-managers {
-  count     = 6
-  locations = ["east", "west"]
-  options   = <<EOT
-fleet {
-  listen = "@LISTEN@"
-  domain = "@PLACE@"
-  folder = "@FOLDER@"
-@MEMBERS@
-}
-rollout {
-  folder = "@FOLDER@"
-}
-EOT
-}
-
-engines "k" {
-  count     = 6
-  locations = ["east", "west"]
-}
-
-group "look" {
-  goal   = "500ms"
-  limit  = "3s"
-  rate   = 150
-  work   = "40ms"
-  memory = 60
-}
-
-group "order" {
-  goal    = "2s"
-  limit   = "6s"
-  rate    = 50
-  work    = "90ms"
-  utility = 3
-  effect  = "once-only"
-}
+include = "roll-site"
+name    = "roll-good"
+length  = "45s"
 
 program "controller" {
   words = ["rollout", "start", "@FOLDER@/plan.hcl"]
--- a/vanerelay/lab/scripts/roll-program.hcl
+++ b/vanerelay/lab/scripts/roll-program.hcl
@@ -1,6 +1,7 @@
 # A new program beside the old one, handed the listening socket: nobody is refused.
-name   = "roll-program"
-length = "60s"
+include = "roll-site"
+name    = "roll-program"
+length  = "60s"
 
 managers {
   count     = 6
@@ -19,28 +20,6 @@
   keeper    = true
 }
 
-engines "k" {
-  count     = 6
-  locations = ["east", "west"]
-}
-
-group "look" {
-  goal   = "500ms"
-  limit  = "3s"
-  rate   = 150
-  work   = "40ms"
-  memory = 60
-}
-
-group "order" {
-  goal    = "2s"
-  limit   = "6s"
-  rate    = 50
-  work    = "90ms"
-  utility = 3
-  effect  = "once-only"
-}
-
 release "old" {
   managers = "m*"
 }
--- a/vanerelay/lab/scripts/roll-worse.hcl
+++ b/vanerelay/lab/scripts/roll-worse.hcl
@@ -1,44 +1,7 @@
 # Settings by which new managers push back most of what comes: ends with the old ones everywhere.
-name   = "roll-worse"
-length = "40s"
-
-managers {
-  count     = 6
-  locations = ["east", "west"]
-  options   = <<EOT
-fleet {
-  listen = "@LISTEN@"
-  domain = "@PLACE@"
-  folder = "@FOLDER@"
-@MEMBERS@
-}
-rollout {
-  folder = "@FOLDER@"
-}
-EOT
-}
-
-engines "k" {
-  count     = 6
-  locations = ["east", "west"]
-}
-
-group "look" {
-  goal   = "500ms"
-  limit  = "3s"
-  rate   = 150
-  work   = "40ms"
-  memory = 60
-}
-
-group "order" {
-  goal    = "2s"
-  limit   = "6s"
-  rate    = 50
-  work    = "90ms"
-  utility = 3
-  effect  = "once-only"
-}
+include = "roll-site"
+name    = "roll-worse"
+length  = "40s"
 
 program "controller" {
   words = ["rollout", "start", "@FOLDER@/plan.hcl"]
--- a/vanerelay/rollout/controller.py
+++ b/vanerelay/rollout/controller.py
@@ -39,6 +39,7 @@
     deaths: int = 0
     restarts: int = 0  # that were ordered, and whose new process was not heard yet
     seen: Seen | None = None  # since the last slice
+    keeper: tuple[int, int] = (0, 0)  # fence and number of the last order that its keeper heeded
 
 
 @dataclass(slots=True)
@@ -110,10 +111,14 @@
                 return
             then(sum(one is not None and one.taken for one in answers))
 
-        DeferredList(
-            [self._links.ask(one.address, "order", order, ASK_S) for one in self._loaded.managers.values()],
-            consumeErrors=True,
-        ).addCallback(asked)
+        managers = self._loaded.managers.values()
+        for one in managers:
+            if (
+                one.keeper and self._loaded.plan.restarts
+            ):  # told as well; it is no manager, and does not count
+                self._links.ask(one.keeper, "order", order, ASK_S).addErrback(lambda _: None)
+        answers_of = [self._links.ask(one.address, "order", order, ASK_S) for one in managers]
+        DeferredList(answers_of, consumeErrors=True).addCallback(asked)
 
     # In turn.
 
@@ -152,6 +157,9 @@
         known.asking = True
         asked: Deferred[Any] = self._links.ask(one.address, "state", words.pack(words.Asked()), ASK_S)
         asked.addCallbacks(lambda body: self._told(name, body), lambda _: None)
+        if one.keeper and self._loaded.plan.restarts:
+            kept: Deferred[Any] = self._links.ask(one.keeper, "state", b"", ASK_S)
+            kept.addCallbacks(lambda body: self._keeper_told(name, body), lambda _: None)
 
         def over(_: Any) -> None:
             known.asking = False
@@ -174,6 +182,11 @@
             known.seen = _joined(known.seen, _seen(state, was, (now - known.at) / UNITS))
         known.state, known.at = state, now
 
+    def _keeper_told(self, name: str, body: bytes) -> None:
+        state = words.unpack(body, words.State)
+        if state is not None:
+            self._known[name].keeper = state.fence, state.heeded
+
     def _heard(self) -> dict[str, Heard]:
         now, found = self._clock.now(), dict[str, Heard]()
         for name, known in self._known.items():
@@ -184,9 +197,9 @@
             if known.before is not None and known.at > known.before_at:
                 span = (known.at - known.before_at) / UNITS
                 busy = (state.figures.cpu_s - known.before.figures.cpu_s) / span / max(0.01, state.cores)
-            found[name] = Heard(
-                self._loaded.runs(state.settings, state.release), state.state == "serving", busy
-            )
+            heeded = known.keeper if self._loaded.plan.restarts else (state.fence, state.heeded)
+            runs = self._loaded.runs(state.settings, state.release)
+            found[name] = Heard(runs, state.state == "serving", busy, heeded)
         return found
 
     def _figures(self) -> None:
@@ -211,7 +224,8 @@
         for name, one in heard.items():
             wanted = self.course.wants[name]
             back = self.course.controls.get(name) is False and not self._known[name].restarts
-            if one.serving and wanted in one.runs and (not self.course.confirmed[name] or back):
+            sure = one.serving and wanted in one.runs and self.course.sure(name, one)
+            if sure and (not self.course.confirmed[name] or back):
                 self._note(Event("confirmed", now, name))
 
     def _go(self) -> None:
@@ -252,9 +266,8 @@
         if name in self._ordering:
             return
         control = step.do is Do.CONTROL
-        number = self._note(
-            Event("control" if control else "ordered", now, name, step.to, self.course.stage, step.why)
-        )
+        what, number = "control" if control else "ordered", self.course.count + 1
+        self._note(Event(what, now, name, self._record.fence, number, step.to, self.course.stage, step.why))
         self._busy = True
 
         def affirmed(taken: int) -> None:
@@ -301,12 +314,11 @@
 
     # What is said and kept.
 
-    def _note(self, event: Event) -> int:
-        """Recorded, then so; its number. Raises Unkept."""
-        number = self._record.add(event)
+    def _note(self, event: Event) -> None:
+        """Recorded, then so. Raises Unkept."""
+        self._record.add(event)
         self.course.apply(event)
         self._tell(line(event, self._loaded))
-        return number
 
     def _tell(self, text: str) -> None:
         if text and text != self._said:
--- a/vanerelay/rollout/fence.py
+++ b/vanerelay/rollout/fence.py
@@ -30,6 +30,11 @@
         self._number = 0  # of the last order heeded under this fence, by this process
         self.learn(told)
 
+    @property
+    def heeded(self) -> int:
+        """The number of the last order under the highest fence."""
+        return self._number
+
     @property
     def told(self) -> str:
         return f"{self.highest}/{self._change}" if self.highest else ""
--- a/vanerelay/rollout/hand.py
+++ b/vanerelay/rollout/hand.py
@@ -85,7 +85,7 @@
             self._fleet.say(orders=self.fence.told)
 
     def _read_held(self) -> None:
-        self._held += self._service.gateway.pool.threads * HELD_S
+        self._held += self._service.gateway.pool.used() * HELD_S
         self._reactor.callLater(HELD_S, self._read_held)
 
     def _state(self, body: bytes) -> bytes:
@@ -110,6 +110,7 @@
                 own.state,
                 own.incarnation,
                 self.fence.highest,
+                self.fence.heeded,
                 int(time.time() * 1000),
                 os.environ.get(RELEASE, ""),
                 self._cores,
--- a/vanerelay/rollout/keeper.py
+++ b/vanerelay/rollout/keeper.py
@@ -123,6 +123,7 @@
         self.succession = Succession(self, patience, frozenset(releases), first)
         host, _, port = kept.serve.rpartition(":")
         self._socket = _listening(host, int(port))
+        self._socket.setblocking(False)  # of the socket itself, whoever holds it: or accepting would wait
         self._links.handlers |= {"order": self._order, "state": self._state}
         self._done: Deferred[None] = Deferred()
 
@@ -185,7 +186,14 @@
     def _state(self, body: bytes) -> bytes:
         return words.pack(
             words.State(
-                self._kept.name, "", "", "keeps", 0, self._fence.highest, release=self.succession.current
+                self._kept.name,
+                "",
+                "",
+                "keeps",
+                0,
+                self._fence.highest,
+                self._fence.heeded,
+                release=self.succession.current,
             )
         )
 
--- a/vanerelay/rollout/record.py
+++ b/vanerelay/rollout/record.py
@@ -48,12 +48,9 @@
         self._do("update change set fence = ? where id = ?", fence, self.change)
         self.fence = fence
 
-    def add(self, event: Event) -> int:
-        """On disk once this returns; its number, higher with each."""
-        cursor = self._do(
-            "insert into event (change, body) values (?, ?)", self.change, msgspec.json.encode(event)
-        )
-        return int(cursor.lastrowid or 0)
+    def add(self, event: Event) -> None:
+        """On disk once this returns."""
+        self._do("insert into event (change, body) values (?, ?)", self.change, msgspec.json.encode(event))
 
     def events(self, change: int | None = None) -> list[Event]:
         rows = self._do("select body from event where change = ? order by id", change or self.change)
--- a/vanerelay/rollout/stages.py
+++ b/vanerelay/rollout/stages.py
@@ -17,7 +17,7 @@
 from vanerelay.interface import SECOND, Span
 from vanerelay.rollout.judge import Verdict, Word
 
-AGAIN = 2 * SECOND  # between orders of the same to one manager
+AGAIN, AGAIN_RESTART = 2 * SECOND, 8 * SECOND  # between orders of the same to one manager
 MAJORITY = 2  # more than one part in so many must be heard, or nothing is moved
 
 
@@ -81,6 +81,8 @@
     what: str
     at: int
     manager: str = ""
+    fence: int = 0  # of an order, with its number under it
+    number: int = 0
     to: str = ""
     stage: int = 0
     why: str = ""
@@ -89,11 +91,13 @@
 @dataclass(frozen=True, slots=True)
 class Heard:
     """A manager as it was heard last. `runs`: which of the four it runs (some may be the same), none:
-    something else; `serving`: it takes batches; `busy`: part of its own core in use."""
+    something else; `serving`: it takes batches; `busy`: part of its own core in use; `heeded`: fence and
+    number of the last order that it heeded."""
 
     runs: frozenset[str]
     serving: bool
     busy: float = 0.0
+    heeded: tuple[int, int] = (0, 0)
 
 
 class Do(Enum):
@@ -124,21 +128,25 @@
         self.confirmed = dict.fromkeys(self.domains, True)
         self.ordered_at = dict[str, int]()  # last
         self.since = dict[str, int]()  # when what it is to run now was ordered first
+        self.orders = dict[str, tuple[int, int]]()  # fence and number of each manager's last
         self.controls = dict[str, bool]()  # restarted to compare with: whether it is back
         self.ever = set[str]()  # managers that the change has reached
         self.stage, self.stage_at = -1, 0  # -1: before the first
         self.passed = -1
         self.paused = self.going_back = self.held = False
         self.ended, self.why = "", ""
+        self.count = 0  # of events: what orders are numbered by
 
     # The record.
 
     def apply(self, event: Event) -> None:
+        self.count += 1
         if event.what == "ordered":
             if self.confirmed[event.manager] or self.wants[event.manager] != event.to:
                 self.since[event.manager] = event.at
             self.wants[event.manager], self.confirmed[event.manager] = event.to, False
             self.ordered_at[event.manager] = event.at
+            self.orders[event.manager] = event.fence, event.number
             if event.to in IS_NEW:
                 self.ever.add(event.manager)
         elif event.what == "confirmed":
@@ -147,6 +155,7 @@
             self.confirmed[event.manager] = True
         elif event.what == "control":
             self.controls[event.manager] = False
+            self.orders[event.manager] = event.fence, event.number
             self.ordered_at[event.manager] = event.at
         elif event.what == "stage":
             self.stage, self.stage_at = event.stage, event.at
@@ -201,6 +210,11 @@
             row[place] for place in range(max(map(len, rows), default=0)) for row in rows if place < len(row)
         ]
 
+    def sure(self, name: str, heard: Heard) -> bool:
+        """Whether no earlier order can count any more at the manager. That it runs what it was ordered is not
+        enough: it may have run that before, and an order that lies in a socket would still be heeded."""
+        return heard.heeded >= self.orders.get(name, (0, 0))
+
     def target(self, name: str) -> str:
         """What a manager is to run as things stand."""
         plan = self.plan
@@ -248,11 +262,14 @@
     def _mend(self, now: int, heard: Mapping[str, Heard]) -> Step | None:
         """One that runs something else than it was ordered last is ordered again: the order was lost, or it
         came back with another release. Never wider than the plan, as what it was ordered counts already."""
+        again = AGAIN_RESTART if self.plan.restarts else AGAIN
         for name, one in heard.items():
             wanted = self.wants.get(name)
-            if wanted is None or wanted in one.runs or self.going_back and wanted in IS_NEW:
+            if wanted is None or self.going_back and wanted in IS_NEW:
+                continue
+            if wanted in one.runs and (self.confirmed[name] or self.sure(name, one)):
                 continue
-            if now - self.ordered_at.get(name, -AGAIN) >= AGAIN:
+            if now - self.ordered_at.get(name, -again) >= again:
                 return Step(Do.ORDER, name, wanted, f"runs {min(one.runs, default='another release')}")
         return None
 
@@ -318,8 +335,8 @@
         for name in behind:
             if name not in heard:
                 continue
-            if name in away and self.confirmed[name]:
-                # Not serving as it is: changing it costs nothing more.
+            if name in away:
+                # Away as it is: changing it costs nothing more.
                 return Step(Do.ORDER, name, self.target(name))
             if len(away) >= limits.most or by[self.domains[name]] >= limits.domain:
                 break
--- a/vanerelay/rollout/words.py
+++ b/vanerelay/rollout/words.py
@@ -52,7 +52,7 @@
 
 class Figures(msgspec.Struct, frozen=True, omit_defaults=True):
     """Sums since the process started. `memory` and `busy` in parts of the limits; `away`: engines that it
-    does not reach; `held`: threads held at engines, a sum over time in seconds."""
+    does not reach; `held`: what part of all engines our grants and threads fill, a sum over time."""
 
     groups: dict[str, Group] = {}
     memory: float = 0.0
@@ -71,6 +71,7 @@
     state: str
     started: int
     fence: int = 0
+    heeded: int = 0  # number of the last order under it
     at_ms: int = 0
     release: str = ""  # as its keeper named it at the start
     cores: float = 1.0
