--- a/tests/test_plays.py
+++ b/tests/test_plays.py
@@ -25,6 +25,7 @@
     "roll-good",
     "roll-program",
     "roll-refuses",
+    "roll-shared",
     "roll-two",
     "roll-weather",
     "roll-worse",
