Ordered settings outlive a restart: each manager's own stay beside the fleet's

Seen in review: what is ordered carries no position and no location, which are each manager's own; kept as it was, a restart found that these differed and went back to the settings of the file (Program._orders_kept), and SIGHUP said that they take a restart. Test: a manager started on a kept order tells its digest, and the file's once the configuration is another; it fails without the change.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import copy
 import heapq
 import itertools
+import json
 import random
+import subprocess
+import sys
 
 import pytest
 
-from vanerelay.fleet import words
+from tests.helpers import ROOT, SERVICES, Engine, Feed, Node, free_address, member, until
+from vanerelay.fleet import release, words
 from vanerelay.fleet.alive import Alive, Member, Pace, Standing, incarnation, splits
 from vanerelay.interface import SECOND
 
@@ -182,3 +187,38 @@
     assert ping is not None and ping.own.name == "m1" and ping.news == []
     assert words.unpack(b"\xc1nonsense", words.Ping) is None
     assert words.member(words.Row("m1", 1, standing=9)) is None
+
+
+def test_ordered_settings_and_the_fence_outlive_the_process_but_not_another_configuration(tmp_path):
+    """A manager with options, started on what was ordered before; shown by the command line."""
+    folder, listen, feed = tmp_path / "orders", free_address(), Feed()
+    folder.mkdir()
+    ordered = copy.deepcopy(SERVICES)
+    ordered["limits"]["maxOpen"] = 500
+    for own in release.OWN:
+        del ordered[own]  # what is ordered is the fleet's; position and location stay each manager's
+    told = {"settings": ordered, "replaces": release.settings(SERVICES)}
+    (folder / "ordered.json").write_text(json.dumps(told))
+    (folder / "fence").write_text("7/change")
+    options = f'fleet {{\nlisten = "{listen}"\n}}\nrollout {{\nfolder = "{folder}"\n}}\n'
+    engine = Engine(lambda engine, connection, ident: engine.returns(connection, ident))
+    node = Node(tmp_path, feed, member(engine), options=options)
+
+    def runs():
+        words_ = [sys.executable, "-m", "vanerelay", "fleet", "show", "--address", listen, "--json"]
+        done = subprocess.run(words_, cwd=ROOT, capture_output=True, text=True, check=False)
+        return json.loads(done.stdout)["settings"] if done.returncode == 0 else ""
+
+    try:
+        assert until(runs, "an answer of the fleet") == release.settings(ordered)
+        node.process.terminate()
+        assert node.process.wait(30) == 0
+        (folder / "ordered.json").write_text(json.dumps({**told, "replaces": "another"}))
+        node.start()
+        assert until(runs, "an answer of the fleet") == release.settings(SERVICES)
+    finally:
+        node.process.kill()
+        node.process.wait()
+        engine.close()
+        feed.server.shutdown()
+        feed.server.server_close()
--- a/vanerelay/fleet/release.py
+++ b/vanerelay/fleet/release.py
@@ -29,3 +29,8 @@
     shared = {name: value for name, value in told.items() if name not in OWN}
     text = json.dumps(shared, sort_keys=True, separators=(",", ":")).encode()
     return hashlib.blake2b(text, digest_size=SHORT // 2).hexdigest()
+
+
+def with_own(shared: Mapping[str, Any], own: Mapping[str, Any]) -> dict[str, Any]:
+    """Settings of the fleet, with what is one manager's own."""
+    return {**shared, **{name: value for name, value in own.items() if name in OWN}}
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -205,7 +205,8 @@
         if self._store is not None:
             from vanerelay.fleet import release
 
-            profile = self._store.at_start(release.settings(profile)) or profile
+            ordered = self._store.at_start(release.settings(profile))
+            profile = release.with_own(ordered, profile) if ordered is not None else profile
         why = self._switch(profile)
         if why is not None:
             log.warning("settings stay until a restart", why=why)
@@ -248,9 +249,11 @@
 
         store = Store(orders.folder)
         ordered = store.at_start(release.settings(profile))
-        if ordered is not None and checks.wrong(ordered) is None and checks.fixed(profile, ordered) is None:
-            return store, ordered
-        return store, profile
+        if ordered is None:
+            return store, profile
+        ordered = release.with_own(ordered, profile)
+        good = checks.wrong(ordered) is None and checks.fixed(profile, ordered) is None
+        return store, ordered if good else profile
 
     def _open_fleet(self, fleet: FleetParts, name: str, profile: dict[str, Any],
                     limits: dict[str, Any]) -> None:
@@ -271,9 +274,8 @@
         """Settings ordered for the whole fleet, beside what is our own; why they can't be used."""
         from vanerelay.fleet import release
 
-        own = {key: value for key, value in self._profile.items() if key in release.OWN}
         try:
-            profile = {**settings, **own}
+            profile = release.with_own(settings, self._profile)
             why = checks.wrong(profile) or self._switch(profile)
         except (TypeError, ValueError, KeyError, AttributeError) as fault:
             why = f"{type(fault).__name__}: {fault}"
--- a/vanerelay/rollout/judge.py
+++ b/vanerelay/rollout/judge.py
@@ -422,8 +422,8 @@
         )
 
     def _apart_before(self, group: str, measure: str, new: Collection[str]) -> tuple[float, float]:
-        """How far the new managers stood from the rest before, and the variance of that. What was seen is drawn
-        towards nothing as far as managers did not differ more than by the noise of so few batches."""
+        """How far the new managers stood from the rest before, and the variance of that. What was seen is
+        drawn towards nothing as far as managers did not differ more than by the noise of so few batches."""
         known = {
             name: spread
             for (name, of, what), spread in self._was.items()
@@ -439,9 +439,8 @@
         unsure = sum(one.variance / one.number for one in mine) / len(mine) ** 2
         if real + unsure <= 0.0:
             return 0.0, 0.0
-        return sum(one.mean for one in mine) / len(mine) * real / (real + unsure), real * unsure / (
-            real + unsure
-        )
+        trusted = real / (real + unsure)
+        return sum(one.mean for one in mine) / len(mine) * trusted, unsure * trusted
 
     def _processes(self) -> list[str]:
         """Ends of processes that nobody ordered, and memory that grows, of new beside old."""
