Tests of what is asked, waits, is lost or too much for a key; stray probe results count once

Found on the way: a probe's result that nobody awaits (after a change of settings) made the line wait for reports for good; it is counted down to 0 only.

--- /dev/null
+++ b/tests/test_asked.py
@@ -0,0 +1,130 @@
+"""Loads that are asked for, dispatches that wait or whose answers are lost, keys that get too much."""
+from __future__ import annotations
+
+import pytest
+
+from tests.helpers import World
+from vanerelay import terms
+from vanerelay.decide import BEAT, Health
+from vanerelay.interface import SECOND, LoadReport, NoteKind, Outcome
+
+ASKS = {"probes": True, "asks": True}
+NOTES = {"notes_every": SECOND // 2}
+
+
+@pytest.mark.parametrize(("allowed", "probes"), [(ASKS, [0, 1, 2, 0]), ({"probes": True}, []), ({}, [])])
+def test_each_batch_has_the_engine_asked_that_was_longest_not(allowed, probes):
+    world = World(engines=3, allowed=allowed)
+    first = [place[2].entry.engine for place in world.gateway.order.all]
+    for _ in range(4):
+        world.take(memory=10.0)
+        world.run(10)
+        for engine, in world.did("probe")[-1:]:
+            world.gateway.reported(engine, Outcome.RETURNED, LoadReport(cores_busy=0.1))
+    assert [engine for engine, in world.did("probe")] == [first[row] for row in probes]
+
+
+@pytest.mark.parametrize(("busy", "outcome", "sent"), [
+    (0.0, Outcome.RETURNED, 3), (1.0, Outcome.RETURNED, 2), (None, Outcome.TIMED_OUT, 2)])
+def test_what_a_probe_tells_is_lent_past_the_part_of_one_of_many(busy, outcome, sent):
+    world = World(engines=2, gateways=40, allowed=ASKS, threads=1)
+    for _ in range(2):
+        world.take(memory=10.0)
+        world.run(BEAT)
+    world.gateway._offered._totals[0] = 0.0
+    third = world.take(memory=10.0)
+    before = len(world.did("dispatch"))
+    assert not third.sends or before == 3
+    for _ in range(8):  # the report is trusted by half, and the usual learned from the reports
+        for engine in (0, 1):
+            world.gateway.reported(
+                engine, outcome, None if busy is None else LoadReport(cores_busy=busy, memory_granted=busy))
+    assert len(world.did("dispatch")) == max(before, sent)
+
+
+@pytest.mark.parametrize(("cancel", "others_full", "called_off"), [
+    (True, False, True), (True, True, False), (False, False, False)])
+def test_what_waits_for_memory_goes_where_an_engine_is_not_known_full(cancel, others_full, called_off):
+    world = World(engines=2, allowed={"cancel": cancel, **NOTES})
+    batch = world.take(memory=10.0)
+    send = batch.sends[0]
+    for engine in world.gateway._engines.values():
+        if others_full and engine is not send.engine:
+            engine.full = world.now
+    batch.noted(0, NoteKind.WAITING, 1.0)
+    assert bool(world.did("cancel")) is called_off
+    assert send.engine.others(world.now, 0.2) == 1.0
+
+
+@pytest.mark.parametrize(("kind", "value", "called_off"), [
+    (NoteKind.WAITING, 2.0, False), (NoteKind.PROGRESS, 0.1, True)])
+def test_a_dispatch_that_waits_owes_no_notes(kind, value, called_off):
+    world = World(engines=1, allowed={"cancel": True, **NOTES})
+    world.gateway.notes = True
+    batch = world.take(memory=10.0)
+    batch.noted(0, kind, value)
+    world.run(3 * SECOND // 2)
+    assert bool(world.did("cancel")) is called_off
+
+
+def test_a_lost_answer_holds_nothing_and_many_leave_time_for_another_dispatch():
+    world = World(engines=1, allowed=NOTES, late_utility=0.5, goal=2 * SECOND, goal_stretch=0.0)
+    for cost in [500, 4000] * 20:
+        world.take(cost=0, memory=10.0).ended(0, Outcome.RETURNED, cost, True, cost, 10.0, None)
+    lost = [world.take(cost=0, memory=10.0) for _ in range(20)]
+    assert world.did("dispatch")[-1][2] > 5 * SECOND  # nothing was lost so far: until the limit
+    ledger, held = world.gateway._engines[0].ledger, world.gateway.pool.running
+    for batch in lost:
+        batch.noted(0, NoteKind.PROGRESS, 0.1)
+    world.run(SECOND // 2 + Health.QUIET + 3 * BEAT)
+    assert held == 20 and (ledger.running, ledger.granted, world.gateway.pool.running) == (0, 0.0, 0)
+    world.end(lost[0], Outcome.TIMED_OUT, lasted=2 * SECOND)
+    assert ledger.running == len([1 for send in lost[0].sends if send.out]) and not world.did("error")
+    world.take(cost=0, memory=10.0)
+    assert world.did("dispatch")[-1][2] < 2 * SECOND
+
+
+@pytest.mark.parametrize(("costs", "given_up"), [
+    ([SECOND // 2] * 3, []), ([SECOND, SECOND, 6 * SECOND, SECOND], [2]), ([SECOND] * 5, [3, 4])])
+def test_of_batches_of_one_key_the_longest_goes_where_not_all_end_in_time(costs, given_up):
+    world = World(in_order=True, goal=5 * SECOND, goal_stretch=0.0, time_limit=30 * SECOND)
+    batches = [world.take(cost=cost, memory=10.0, key=7, limit=30 * SECOND) for cost in costs]
+    assert [row for row, batch in enumerate(batches) if batch.over] == given_up
+    assert len(world.did("push_back")) == len(given_up) and len(world.did("dispatch")) == 1
+    ended = 0
+    while waiting := [batch for batch in batches if batch.out()]:
+        world.end(waiting[0], Outcome.RETURNED)
+        ended += 1
+    assert ended == len(costs) - len(given_up)
+
+
+@pytest.mark.parametrize(("costs", "early"), [([1000] * 60, True), ([100, 100, 20000] * 20, False)])
+def test_a_time_out_before_the_limit_waits_for_what_the_spread_of_costs_asks(costs, early):
+    world = World(engines=1, goal=2 * SECOND, goal_stretch=0.0)
+    for cost in costs:
+        batch = world.take(cost=0, memory=10.0)
+        batch.ended(0, Outcome.RETURNED, cost, True, cost, 10.0, None)
+    world.take(cost=0, memory=10.0)
+    assert (world.did("dispatch")[-1][2] < 2 * SECOND) is early
+
+
+@pytest.mark.parametrize(("gateways", "looks"), [(3, 40), (80, 40), (81, 20), (162, 10), (300, 10)])
+def test_many_gateways_look_their_engines_over_less_often_and_answer_in_time(gateways, looks, monkeypatch):
+    world, seen = World(engines=0, gateways=gateways), []
+    whole = world.gateway._look_over
+    monkeypatch.setattr(world.gateway, "_look_over", lambda *told: (seen.append(told), whole(*told)))
+    batch = world.take(limit=SECOND)
+    world.run(SECOND)
+    assert batch.over and len(world.did("push_back")) == 1
+    world.run(SECOND)
+    assert len(seen) == looks
+
+
+@pytest.mark.parametrize(("probes", "how", "columns", "asks"), [
+    (True, "pull", ["pending", "x0"], True), (True, "pull", ["pending"], False),
+    (True, "piggyback", ["cpu_share"], False), (False, "pull", ["cpu_share"], False)])
+def test_loads_are_asked_for_where_only_probes_tell_them(probes, how, columns, asks):
+    allowed = terms.allowances({
+        "limits": {"probes": probes}, "report": {"how": how, "columns": columns},
+        "familyInfo": {"reportX0": "share of memory granted"}})
+    assert allowed.asks is asks
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -479,7 +479,7 @@
             self.transport.probe(engine.entry.engine)
 
     def reported(self, index: int, outcome: Outcome, report: LoadReport | None) -> None:  # of a probe
-        engine, self._due = self._engines.get(index), self._due - 1
+        engine, self._due = self._engines.get(index), max(0, self._due - 1)
         if engine is not None and outcome in SPOKEN:
             self.heard(engine, report)
         self.line.serve(self.admit)
