--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,7 +16,8 @@
 from vanerelay.interface import SECOND
 from vanerelay.rollout import plan, shared, words
 from vanerelay.rollout.controller import Controller
-from vanerelay.rollout.fence import Fence, Order, Store
+from vanerelay.rollout.fence import Fence, Order
+from vanerelay.rollout.store import Store
 from vanerelay.rollout.judge import Guard, Judge, Seen, Terms, Verdict, Word
 from vanerelay.rollout.record import Record, Unkept
 from vanerelay.rollout.stages import IS_NEW, NEW, OLD, Away, Course, Do, Event, Heard, Plan, Stage
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -28,7 +28,7 @@
     from vanerelay.fleet.service import Fleet
     from vanerelay.membership.joined import Membership
     from vanerelay.membership.parts import Parts
-    from vanerelay.rollout.fence import Store
+    from vanerelay.rollout.store import Store
     from vanerelay.rollout.parts import Parts as RolloutParts
     from vanerelay.xds.parts import Parts as ControlParts
     from vanerelay.xds.service import ControlService
@@ -245,7 +245,7 @@
         """What is kept of orders, and the settings to start with: those ordered last, while the configuration
         is the one that they took the place of."""
         from vanerelay.fleet import release
-        from vanerelay.rollout.fence import Store
+        from vanerelay.rollout.store import Store
 
         store = Store(orders.folder)
         ordered = store.at_start(release.settings(profile))
--- a/vanerelay/rollout/hand.py
+++ b/vanerelay/rollout/hand.py
@@ -15,7 +15,8 @@
 from vanerelay.fleet.links import Refused
 from vanerelay.holding import conditions
 from vanerelay.rollout import words
-from vanerelay.rollout.fence import Fence, Order, Store
+from vanerelay.rollout.fence import Fence, Order
+from vanerelay.rollout.store import Store
 from vanerelay.rollout.judge import BUCKETS, bucket
 
 if TYPE_CHECKING:
--- a/vanerelay/rollout/keeper.py
+++ b/vanerelay/rollout/keeper.py
@@ -25,7 +25,8 @@
 from vanerelay.net.clock import Clock
 from vanerelay.options import BadOptions, Block, read
 from vanerelay.rollout import words
-from vanerelay.rollout.fence import Fence, Order, Store
+from vanerelay.rollout.fence import Fence, Order
+from vanerelay.rollout.store import Store
 from vanerelay.rollout.hand import RELEASE
 from vanerelay.rollout.succession import Child, Patience, Succession
 
