One seam by which subsystems join the served program; no arrow runs up from net any more

Need: net/service.py and rollout/hand.py imported each other, and net/program.py knew five subsystems by name. Change: seam.py (a protocol below net/: what a part may see, when it is asked, what it may answer), joining.py above all; membership, xds, fleet and rollout come by it alone. Engines may be sent orders that are no batches. Beside it, not switched on anywhere yet: leases/ (voters, askers, receivers' gate, rendezvous, disk, chores), history.py.

--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -114,16 +114,17 @@
     clock = Clock()
     reactor = Reactor(clock)
     installReactor(reactor)  # type: ignore[no-untyped-call]
-    from vanerelay.net.program import BadStart, Kept, Program, read
+    from vanerelay.net.program import Kept, Program, read
+    from vanerelay.seam import BadStart
 
     try:
         parts = _subsystems(options)
         told = read(config)
         name = name or str(told.get("name", ""))
         structlog.contextvars.bind_contextvars(gateway=name)
-        program = Program(reactor, clock, told, listen or str(told.get("listen", "")),
-                          parts.get("membership"), parts.get("xds"), parts.get("fleet"),
-                          parts.get("rollout"), name, Kept(listen_fd, ready_fd))
+        join = importlib.import_module("vanerelay.joining").joins(parts) if parts else None
+        program = Program(reactor, clock, told, listen or str(told.get("listen", "")), name,
+                          Kept(listen_fd, ready_fd), join)
     except BadStart as fault:
         click.echo(f"vanerelay: {fault}", err=True)
         sys.exit(2)
@@ -141,7 +142,8 @@
     """Reads a configuration and says what it tells, without listening anywhere."""
     from vanerelay import checks, terms
     from vanerelay.net import feed
-    from vanerelay.net.program import BadStart, read
+    from vanerelay.net.program import read
+    from vanerelay.seam import BadStart
 
     try:
         told = read(config)
--- /dev/null
+++ b/vanerelay/joining.py
@@ -0,0 +1,42 @@
+"""Which subsystems join the served program, and in which order: above `net/` and all of them. Nothing chooses
+here, and of what operators did not switch on nothing is imported."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from vanerelay.seam import Host, Part
+
+
+def joins(options: Mapping[str, Any]) -> Callable[[Host], list[Part]] | None:
+    """`options`: the parts of each subsystem that is on, by the name of its block; None where none is."""
+    return (lambda host: _parts(host, options)) if options else None
+
+
+def _parts(host: Host, options: Mapping[str, Any]) -> list[Part]:
+    """Each before those that stand on it."""
+    found, members, fleet = list[Part](), None, None
+    if "membership" in options:
+        from vanerelay.membership.join import MembersPart
+
+        members = MembersPart(host, options["membership"])
+        found.append(members)
+    if "xds" in options:
+        from vanerelay.xds.join import ControlPart
+
+        found.append(ControlPart(host, options["xds"], members))
+    if "fleet" in options:
+        from vanerelay.fleet.join import FleetPart
+
+        fleet = FleetPart(host, options["fleet"])
+        found.append(fleet)
+    if "rollout" in options and fleet is not None:
+        from vanerelay.rollout.join import OrdersPart
+
+        found.append(OrdersPart(host, options["rollout"], fleet))
+    if "leases" in options and fleet is not None:
+        from vanerelay.leases.join import LeasesPart
+
+        found.append(LeasesPart(host, options["leases"], fleet))
+    return found
--- /dev/null
+++ b/vanerelay/leases/service.py
@@ -0,0 +1,341 @@
+"""One manager's part in leases: asks voters, renews, gives back. Thin: `quorum`, `tasks`, `hold` decide."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import structlog
+from twisted.internet.defer import Deferred, fail
+
+from vanerelay.fleet.links import Refused
+from vanerelay.fleet.service import Fleet
+from vanerelay.history import History, clock as history_clock
+from vanerelay.interface import MILLISECOND
+from vanerelay.leases import tasks, words
+from vanerelay.leases.disk import Unkept
+from vanerelay.leases.hold import Deed, Hold
+from vanerelay.leases.parts import Parts
+from vanerelay.leases.quorum import ERA, Claim, Stage
+from vanerelay.leases.tasks import Watch
+from vanerelay.leases.voting import Voting
+from vanerelay.net.clock import UNITS
+
+RENEWALS = 3  # in a term
+TURNS = 20  # in a term
+LEAVE_S = 1.0  # for deeds to end, once nothing new is to be begun
+SLOW, SLOWS = 2, 2  # a part of the term that renewals took, so often in a row: others do it better
+
+log = structlog.get_logger()
+
+
+def boottime() -> int:
+    """Monotonic, and counting while the machine is suspended; in the module's unit."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 100_000
+
+
+@dataclass(slots=True)
+class Task:
+    """`began` and `ended` are told that deeds may begin, and that they may not any more."""
+
+    name: str
+    hold: Hold
+    began: Callable[[Hold], None]
+    ended: Callable[[Hold], None]
+    watch: Watch = field(default_factory=Watch)
+    claim: Claim = field(default_factory=Claim)
+    renewed: int = 0
+    asked_at: int = 0  # by the histories' clock
+    acting: bool = False
+
+
+class Leases:
+    """All tasks of the fleet, as one manager sees them. Voters among them vote beside it."""
+
+    def __init__(self, reactor: Any, fleet: Fleet, parts: Parts, chance: random.Random, process: int) -> None:
+        """`process`: drawn for this process alone. Raises Unkept where a voter has nowhere to remember."""
+        self._reactor, self._fleet, self.parts, self._chance = reactor, fleet, parts, chance
+        self._process, self.name, self.clock = process, fleet.name, boottime
+        self.history = History(self.name, parts.history)
+        self.tasks = dict[str, Task]()
+        self._era, self.sent, self._slow, self._slow_until = 0, 0, 0, 0
+        self._floors = dict[str, int]()  # numbers that receivers have seen
+        self._seen: tuple[Any, ...] = ()
+        self._leaving = self._stopped = False
+        self.voting: Voting | None = None
+        if self.name in parts.voters.all:
+            if not parts.folder:
+                raise Unkept("a voter needs a folder in its leases block")
+            self.voting = Voting(
+                reactor, self.name, parts.terms, parts.voters, parts.folder, self.clock, self._ask
+            )
+        fleet.links.handlers |= {"lease": self._asked, "leases": self._viewed}
+
+    def add(self, name: str, began: Callable[[Hold], None], ended: Callable[[Hold], None]) -> Hold:
+        """A task of the fleet; every manager adds the same ones."""
+        hold = Hold(name, f"{self.name}/{self._process:x}")
+        self.tasks[name] = Task(name, hold, began, ended)
+        return hold
+
+    def start(self) -> None:
+        self._turn()
+
+    # In turn.
+
+    def _turn(self) -> None:
+        if self._stopped:
+            return
+        self._reactor.callLater(self.parts.terms.term / TURNS / UNITS, self._turn)
+        now, term = self.clock(), self.parts.terms.term
+        self._place(now)
+        prepares, accepts = list[Task](), list[tuple[Task, int]]()
+        for task in self.tasks.values():
+            claim = task.claim
+            if claim.stage is Stage.HOLDING and not claim.holds(now):
+                task.claim = Claim(seen=claim.seen)
+                self._note(task, now)
+            elif claim.stage is Stage.HOLDING:
+                if not self._fit(now) or task.watch.outlived(now, term):
+                    self._give_back(task, now)
+                elif now - task.renewed >= term // RENEWALS and not claim.over:
+                    task.claim, serial = claim.renew(now)
+                    task.renewed = now
+                    accepts.append((task, serial))
+            elif claim.stage is not Stage.IDLE and now - claim.asked >= term // RENEWALS:
+                task.claim = Claim(seen=claim.seen)
+                task.watch.asked(now, term, 0, self._chance.random())
+            if task.claim.stage is Stage.IDLE and self._may_ask(now) and task.watch.wants(now, term):
+                task.claim = task.claim.ask(now, self.name, self._process)
+                task.asked_at = history_clock()
+                prepares.append(task)
+        self._prepare(prepares)
+        self._accept(accepts)
+
+    def _may_ask(self, now: int) -> bool:
+        alive = self._fleet.alive
+        return self._fit(now) and not alive.replaced and (alive.has_joined or len(alive.members) == 1)
+
+    def _fit(self, now: int) -> bool:
+        return self._fleet.alive.own.state == "serving" and not self._leaving and now >= self._slow_until
+
+    def _place(self, now: int) -> None:
+        """Whose turn it is, anew where the fleet has changed."""
+        fit = self._fit(now)
+        members = self._fleet.alive.members.values()
+        found = tuple(tasks.candidates(members, self.name, fit, self.parts.weights))
+        if (found, len(self.tasks)) != self._seen:
+            self._seen = found, len(self.tasks)
+            for name, order in tasks.assign(self.tasks, found).items():
+                self.tasks[name].watch.placed(now, self.name, order)
+
+    # What is asked of voters.
+
+    def _ask(self, voter: str, ask: words.Ask) -> Deferred[words.Answer]:
+        self.sent += 1
+        if voter == self.name and self.voting is not None:
+            try:
+                return self.voting.answer(ask)
+            except Refused as fault:
+                return fail(fault)
+        patience_s = self.parts.terms.term / RENEWALS / UNITS
+
+        def read(body: bytes) -> words.Answer:
+            told = words.unpack(body, words.Answer)
+            if told is None:
+                raise Refused("unreadable")
+            return told
+
+        return self._fleet.ask(voter, "lease", words.pack(ask), patience_s).addCallback(read)
+
+    def _send(self, ask: words.Ask, heard: Callable[[str, words.Answer], None]) -> None:
+        for voter in self.parts.voters.all:
+            asked = self._ask(voter, ask)
+            asked.addCallback(partial(self._heard, heard, voter))
+            asked.addErrback(self._unheard)
+
+    def _heard(self, heard: Callable[[str, words.Answer], None], voter: str, told: words.Answer) -> None:
+        self._era = max(self._era, told.era)
+        if not self._stopped:
+            heard(voter, told)
+
+    def _unheard(self, failure: Any) -> None:
+        """Nothing came, or the voter will not: a majority of the others may do."""
+        if failure.check(Exception) and not failure.check(Refused):
+            log.debug("a voter did not answer", why=failure.getErrorMessage())
+
+    def _prepare(self, asking: list[Task]) -> None:
+        for first in range(0, len(asking), words.AT_ONCE):
+            some = asking[first : first + words.AT_ONCE]
+            ballots = {task.name: task.claim.ballot for task in some}
+
+            def heard(voter: str, told: words.Answer, ballots: dict[str, Any] = ballots) -> None:
+                now, ready = self.clock(), list[tuple[Task, int]]()
+                terms, voters = self.parts.terms, self.parts.voters
+                for (name, ballot), reply in zip(ballots.items(), told.prepares, strict=False):
+                    task, one = self.tasks[name], reply.reply()
+                    was = task.claim.stage
+                    floor = max(self._era * ERA, self._floors.get(name, 0))
+                    task.claim = task.claim.promised(now, voter, ballot, one, voters, terms, floor)
+                    if was is Stage.ASKING and task.claim.stage is Stage.TAKING:
+                        ready.append((task, 0))
+                    elif one.said.value == "held" and task.claim.ballot == ballot and was is Stage.ASKING:
+                        task.watch.asked(now, terms.term, one.left, self._chance.random())
+                        task.claim = Claim(seen=task.claim.seen)
+                self._accept(ready)
+
+            self._send(words.Ask(self.parts.voters.version, list(ballots.items())), heard)
+
+    def _accept(self, taking: list[tuple[Task, int]]) -> None:
+        """Acceptances, first ones and renewals; with the serial of each."""
+        for first in range(0, len(taking), words.AT_ONCE):
+            part = taking[first : first + words.AT_ONCE]
+            some = [(task, serial, task.claim.grant) for task, serial in part]
+            begun, at = history_clock(), self.clock()
+
+            def heard(
+                voter: str, told: words.Answer, some: Any = some, begun: int = begun, at: int = at
+            ) -> None:
+                now = self.clock()
+                for (task, serial, grant), reply in zip(some, told.accepts, strict=False):
+                    until = task.claim.until
+                    task.claim = task.claim.taken(
+                        voter, grant.ballot, serial, reply.reply(), self.parts.voters, self.parts.terms
+                    )
+                    if task.claim.until > until:
+                        self._took(now - at, now)
+                        op = "renew" if serial else "acquire"
+                        self._told(op, task, task.asked_at if not serial else begun, grant.number, "ok")
+                        self._note(task, now)
+
+            for task, serial, grant in some:
+                if not serial:
+                    task.renewed = at
+                    self._told("asked", task, begun, grant.number, "unknown")
+            accepts = [(task.name, grant) for task, _, grant in some]
+            self._send(words.Ask(self.parts.voters.version, accepts=accepts), heard)
+
+    def _took(self, span: int, now: int) -> None:
+        """How long voters took: one whose renewals are slow leaves tasks to others."""
+        term = self.parts.terms.term
+        self._slow = self._slow + 1 if span > term // SLOW else 0
+        if self._slow >= SLOWS and now >= self._slow_until:
+            log.warning("voters reach us slowly: tasks are left to others", ms=span // MILLISECOND)
+            self._slow, self._slow_until = 0, now + tasks.REST * term
+
+    # What comes of it.
+
+    def _note(self, task: Task, now: int) -> None:
+        """Tells those who act that they may, or may no more."""
+        hold = task.hold
+        if hold.settle(now, task.claim, self.parts.terms):
+            wait = max(0, hold.acts_from - now)
+            log.info("lease held", task=task.name, number=hold.number, waits_ms=wait // MILLISECOND)
+            task.acting = True
+            task.began(hold)
+        elif task.acting and not task.claim.holds(now):
+            task.acting = False
+            log.warning("lease lost", task=task.name, number=hold.number)
+            self._told("lost", task, history_clock(), hold.number, "ok")
+            task.watch.asked(now, self.parts.terms.term, 0, self._chance.random())
+            task.ended(hold)
+
+    def _give_back(self, task: Task, now: int) -> None:
+        """Once what is out has ended; until then nothing further begins."""
+        hold = task.hold
+        if not hold.leaving:
+            hold.leave()
+            task.acting = False
+            task.ended(hold)
+        if not hold.free:
+            return
+        begun, number = history_clock(), hold.number
+        task.claim = task.claim.given_back()
+        grant = task.claim.grant
+        hold.settle(now, task.claim, self.parts.terms)
+        task.watch.rest(now, self.parts.terms.term)
+        log.info("lease given back", task=task.name, number=number)
+        self._told("release", task, begun, number, "ok")
+        self._send(
+            words.Ask(self.parts.voters.version, accepts=[(task.name, grant)]), lambda voter, told: None
+        )
+
+    def behind(self, deed: Deed, number: int) -> None:
+        """A receiver has seen a higher number than ours: another acts, and what we hold is worth nothing."""
+        task = self.tasks[deed.task]
+        self._floors[deed.task] = max(self._floors.get(deed.task, 0), number)
+        if number > task.hold.number and task.claim.stage is Stage.HOLDING:
+            log.warning("a receiver knows a later number", task=deed.task, number=deed.number, later=number)
+            task.claim = Claim(seen=task.claim.seen)
+            self._note(task, self.clock())
+
+    def leave(self) -> Deferred[Any]:
+        """Gives everything back; fires once voters have been told, or could not be."""
+        self._leaving = True
+        done: Deferred[Any] = Deferred()
+        since = self.clock()
+
+        def look() -> None:
+            now = self.clock()
+            held = [task for task in self.tasks.values() if task.claim.stage is Stage.HOLDING]
+            for task in held:
+                self._give_back(task, now)
+            left = [task for task in held if task.claim.stage is Stage.HOLDING]
+            if left and now - since < LEAVE_S * UNITS:
+                self._reactor.callLater(LEAVE_S / TURNS, look)
+            elif held and self.parts.voters.all:
+                self._reactor.callLater(LEAVE_S / TURNS, done.callback, None)  # what was written leaves
+            else:
+                done.callback(None)
+
+        look()
+        return done
+
+    def stop(self) -> None:
+        self._stopped = True
+        if self.voting is not None:
+            self.voting.stop()
+
+    # What others ask.
+
+    def _asked(self, body: bytes) -> Deferred[bytes]:
+        ask = words.unpack(body, words.Ask)
+        if ask is None or self.voting is None or self._stopped:
+            raise Refused("unreadable" if ask is None else "this manager does not vote")
+        return self.voting.answer(ask).addCallback(words.pack)
+
+    def _viewed(self, _: bytes) -> bytes:
+        now, voters = self.clock(), self.parts.voters
+        rows = [
+            words.Row(
+                task.name,
+                task.claim.holds(now),
+                task.hold.number,
+                max(0, task.claim.until - now) // MILLISECOND if task.claim.holds(now) else 0,
+                len(task.hold.out),
+                task.watch.place,
+            )
+            for task in self.tasks.values()
+            if task.watch.place >= 0 or task.claim.holds(now)
+        ]
+        voting = self.voting
+        memory, why = (voting.voter.memory.value, voting.why) if voting is not None else ("", "")
+        return words.pack(
+            words.View(
+                self.name,
+                list(voters.now),
+                list(voters.before),
+                voters.version,
+                memory,
+                voting.voter.era if voting is not None else self._era,
+                rows[: words.AT_ONCE],
+                self.sent,
+                why,
+            )
+        )
+
+    def _told(self, op: str, task: Task, begun: int, number: int, result: str) -> None:
+        self.history.add(op, begun, task=task.name, number=number, holder=task.hold.holder, result=result)
--- /dev/null
+++ b/vanerelay/membership/join.py
@@ -0,0 +1,35 @@
+"""The merged list of engines as a part of the served program."""
+
+from __future__ import annotations
+
+from vanerelay.membership.joined import Membership
+from vanerelay.membership.parts import Parts
+from vanerelay.seam import Answered, BadStart, Host, Listed, Part
+
+
+class MembersPart(Part):
+    """Stands between the control feed and the list in force."""
+
+    membership: Membership
+
+    def __init__(self, host: Host, parts: Parts) -> None:
+        self._host, self._parts = host, parts
+
+    def between(self, listed: Listed, answered: Answered | None) -> tuple[Listed, Answered | None]:
+        host = self._host
+        self.membership = Membership(
+            host.reactor, host.clock, self._parts, host.places, host.kinds, listed, host.large
+        )
+        return self.membership.fed, self.membership.feed_answers
+
+    @property
+    def busy(self) -> bool:  # type: ignore[override]
+        return self.membership.busy
+
+    def begin(self) -> None:
+        wrong = self.membership.start()
+        if wrong is not None:
+            raise BadStart(f"the console: {wrong}")
+
+    def stop(self) -> None:
+        self.membership.stop()
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import islice
 from typing import Any
 
@@ -31,11 +31,13 @@
     """One dispatch on its way. `done` fires once, with its End; it never fails."""
 
     __slots__ = ("body", "done", "grant", "group", "ident", "line", "noted", "patience", "priority",
-                 "sent_at", "timer", "used")
+                 "sent_at", "timer", "used", "words")
 
     def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, priority: int, body: bytes,
-                 used: list[Line]) -> None:
-        """`used`: the connections that the batch's dispatches went over; each takes one of them only."""
+                 used: list[Line], words: Sequence[bytes] = ()) -> None:
+        """`used`: the connections that the batch's dispatches went over; each takes one of them only.
+        `words`: the whole command, where it is an order and no batch."""
+        self.words = words
         self.ident, self.group, self.patience, self.body, self.used = ident, group, patience, body, used
         self.grant, self.priority = grant, priority
         self.done: Deferred[End] = Deferred()
@@ -135,8 +137,11 @@
         attempt.used.append(self)
         attempt.sent_at = self.used_at
         self.attempts[attempt.ident] = attempt
-        self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.priority,
-                            attempt.body)
+        if attempt.words:
+            self.exchange.order(attempt.ident, attempt.words)
+        else:
+            self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant,
+                                attempt.priority, attempt.body)
         self._flush(attempt.ident)
 
     def drained(self) -> None:
@@ -416,6 +421,12 @@
             line, self._called[peer] = peer.call(), None
         line.send(attempt)
 
+    def order(self, engine: int, words: Sequence[bytes], ident: bytes, patience_s: float) -> Deferred[End]:
+        """A command that is no batch, answered under `ident`. The Deferred never fails."""
+        attempt = Attempt(ident, b"", 0, 0, 0, b"", [], words)
+        self.send(engine, attempt, patience_s)
+        return attempt.done
+
     def probe(self, engine: int) -> None:
         peer = self._peers.get(engine)
         if peer is not None:
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from vanerelay.interface import NoteKind
@@ -199,6 +199,11 @@
         self.open[ident] = None
         self.out.append(command(b"serve", ident, told, body))
 
+    def order(self, ident: bytes, words: Sequence[bytes]) -> None:
+        """A command of operators' words, answered under `ident` as a dispatch is."""
+        self.open[ident] = None
+        self.out.append(command(*words))
+
     def give_up(self, ident: bytes) -> Stage:
         """How far the dispatch had come that nobody waits for any more."""
         pages = self.open.pop(ident)
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -5,8 +5,8 @@
 import itertools
 import math
 import re
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import structlog
 
@@ -22,9 +22,7 @@
 from vanerelay.net.peers import Peers
 from vanerelay.net.resp import Note
 from vanerelay.net.statements import table_group
-
-if TYPE_CHECKING:
-    from vanerelay.rollout.hand import Tally
+from vanerelay.seam import Part, tells
 
 log = structlog.get_logger()
 
@@ -75,8 +73,7 @@
         self._guard_at: int | None = None
         self._guard_timer: Any = None
         self._listed = self.ending = False
-        self.watchers = list[Callable[[feed.Change], None]]()  # told of each change of the list in force
-        self.tally: Tally | None = None  # told what became of each batch, where somebody asks
+        self._watchers, self._tallies = list[Part](), list[Part]()
         self.open, self._room = 0, room
         self.now = clock.now()
 
@@ -111,9 +108,10 @@
         self.now = self._clock.now()
         return self._gateway
 
-    def addresses(self) -> dict[int, str]:
-        """Where each engine is listed, by the module's index."""
-        return self._engines.addresses()
+    def join(self, parts: Iterable[Part]) -> None:
+        """Subsystems, told from now on of what they want to be told."""
+        self._watchers += [part for part in parts if tells(part, "listed")]
+        self._tallies += [part for part in parts if tells(part, "answered")]
 
     # What clients bring.
 
@@ -170,7 +168,7 @@
     def left(self, held: Request) -> None:
         """Its client no longer waits; what is out still ends."""
         if not held.ended:
-            if self.tally is not None:
+            if self._tallies:
                 self._count(held, frames.RETURNED, False)
             self._finish(held)
             if held.batch is not None:
@@ -227,8 +225,8 @@
         for gateway in (self._gateway, *self._ending):
             if gateway is not None:
                 self._call(None, gateway.listed, entries, change.whole)
-        for watcher in self.watchers:
-            watcher(change)
+        for part in self._watchers:
+            part.listed(change)
 
     def sweep(self) -> None:
         """Lets go of connections that the engines are about to close, and of engines that are gone."""
@@ -284,19 +282,20 @@
 
     def _count(self, held: Request, code: int, heard: bool = True) -> None:
         """Tells what became of a batch; `heard`: whether its client still waited."""
-        assert self.tally is not None
         goal, late = self._worth.get(held.group, (0, 0.0))
         passed = self._clock.now() - held.since
         earned = 0.0 if code != frames.RETURNED or not heard else 1.0 if passed <= goal else late
-        self.tally.answered(held.group.decode(), earned, code, passed, len(held.attempts))
+        for part in self._tallies:
+            part.answered(held.group.decode(), earned, code, passed, len(held.attempts))
 
     def _count_unheld(self, told: dict[str, str], code: int) -> None:
         """The same of one that was answered on the spot."""
-        if self.tally is not None:
-            self.tally.answered(told.get("service", ""), 0.0, code, 0, 0)
+        if self._tallies:
+            for part in self._tallies:
+                part.answered(told.get("service", ""), 0.0, code, 0, 0)
 
     def _answer(self, held: Request, code: int, fields: dict[str, str], body: bytes) -> None:
-        if self.tally is not None:
+        if self._tallies:
             self._count(held, code)
         self._finish(held)
         held.client.answer(held.stream, code, fields, body)
--- a/vanerelay/options.py
+++ b/vanerelay/options.py
@@ -115,7 +115,8 @@
 
 
 SUBSYSTEMS = {"membership": "vanerelay.membership.parts", "xds": "vanerelay.xds.parts",
-              "fleet": "vanerelay.fleet.parts", "rollout": "vanerelay.rollout.parts"}
+              "fleet": "vanerelay.fleet.parts", "rollout": "vanerelay.rollout.parts",
+              "leases": "vanerelay.leases.parts"}
 
 
 def subsystems(path: str) -> dict[str, Any]:
@@ -126,8 +127,10 @@
         block = document.only(name)
         if block is not None:
             found[name] = importlib.import_module(module).parts(block)
-    if "rollout" in found and "fleet" not in found:
-        raise document.only("rollout").wrong("rollout: no fleet, expected a fleet block beside it")  # type: ignore[union-attr]
+    for name in ("rollout", "leases"):
+        block = document.only(name)
+        if block is not None and "fleet" not in found:
+            raise block.wrong(f"{name}: no fleet, expected a fleet block beside it")
     document.done()
     return found
 
--- a/vanerelay/rollout/hand.py
+++ b/vanerelay/rollout/hand.py
@@ -7,21 +7,19 @@
 import os
 import resource
 import time
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import structlog
 
+from vanerelay.fleet import release
 from vanerelay.fleet.links import Refused
+from vanerelay.fleet.service import Fleet
 from vanerelay.holding import conditions
 from vanerelay.rollout import words
 from vanerelay.rollout.fence import Fence, Order
 from vanerelay.rollout.store import Store
 from vanerelay.rollout.judge import BUCKETS, bucket
-
-if TYPE_CHECKING:
-    from vanerelay.fleet.service import Fleet
-    from vanerelay.net.service import Service
+from vanerelay.seam import Host
 
 log = structlog.get_logger()
 
@@ -59,26 +57,17 @@
 
 
 class Hand:
-    """`settle`: puts settings in force, and gives why it can't; `memory`: bytes told."""
-
-    def __init__(
-        self,
-        reactor: Any,
-        fleet: Fleet,
-        service: Service,
-        settle: Callable[[dict[str, Any]], str | None],
-        store: Store,
-        memory: int,
-        cores: float,
-    ) -> None:
-        self._reactor, self._fleet, self._service, self._settle = reactor, fleet, service, settle
-        self._memory, self._cores, self.tally = memory, cores, Tally()
+    """Answers a controller, and does as it says."""
+
+    def __init__(self, host: Host, fleet: Fleet, tally: Tally, store: Store) -> None:
+        self._host, self._fleet, self._tally = host, fleet, tally
+        self._memory = int(host.limits.get("memory_mb") or 192) * 2**20
+        self._cores = float(host.limits.get("cores") or 1.0)
         self._held, self._store = 0.0, store
         self.fence = Fence(store.fence())
         fleet.seen.append(lambda member: self._learn(member.orders))
         if self.fence.told:
             fleet.say(orders=self.fence.told)
-        service.tally = self.tally
         fleet.links.handlers |= {"state": self._state, "order": self._order}
         self._read_held()
 
@@ -87,8 +76,8 @@
             self._fleet.say(orders=self.fence.told)
 
     def _read_held(self) -> None:
-        self._held += self._service.gateway.pool.used() * HELD_S
-        self._reactor.callLater(HELD_S, self._read_held)
+        self._held += self._host.gateway.pool.used() * HELD_S
+        self._host.reactor.callLater(HELD_S, self._read_held)
 
     def _state(self, body: bytes) -> bytes:
         asked = words.unpack(body, words.Asked)
@@ -96,9 +85,9 @@
         figures = words.Figures()
         if asked is None or asked.figures:
             usage = resource.getrusage(resource.RUSAGE_SELF)
-            away = sum(not condition.sound for condition in conditions(self._service.gateway))
+            away = sum(not condition.sound for condition in conditions(self._host.gateway))
             figures = words.Figures(
-                self.tally.told(),
+                self._tally.told(),
                 self._resident() / self._memory,
                 usage.ru_utime + usage.ru_stime,
                 away,
@@ -147,7 +136,11 @@
             settings = json.loads(told.body)
         except ValueError as fault:
             return words.Taken(self.fence.highest, False, True, f"settings: {fault}")
-        why = self._settle(settings)
+        try:
+            profile = release.with_own(settings, self._host.profile)
+        except (TypeError, AttributeError) as fault:
+            return words.Taken(self.fence.highest, False, True, f"{type(fault).__name__}: {fault}")
+        why = self._host.settle(profile)
         if why is not None:
             return words.Taken(self.fence.highest, False, True, why)
         why = self._store.ordered(settings)
--- /dev/null
+++ b/vanerelay/rollout/join.py
@@ -0,0 +1,34 @@
+"""What takes orders of a rolling change, as a part of the served program."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from vanerelay import checks
+from vanerelay.fleet import release
+from vanerelay.fleet.join import FleetPart
+from vanerelay.rollout.hand import Hand, Tally
+from vanerelay.rollout.parts import Parts
+from vanerelay.rollout.store import Store
+from vanerelay.seam import Host, Part
+
+
+class OrdersPart(Part):
+    def __init__(self, host: Host, parts: Parts, fleet: FleetPart) -> None:
+        self._host, self._fleet, self._store, self._tally = host, fleet, Store(parts.folder), Tally()
+
+    def settings(self, profile: dict[str, Any]) -> dict[str, Any]:
+        """Those ordered last, while the configuration is the one that they took the place of."""
+        ordered = self.again(profile)
+        good = checks.wrong(ordered) is None and checks.fixed(profile, ordered) is None
+        return ordered if good else profile
+
+    def again(self, profile: dict[str, Any]) -> dict[str, Any]:
+        ordered = self._store.at_start(release.settings(profile))
+        return release.with_own(ordered, profile) if ordered is not None else profile
+
+    def open(self) -> None:
+        Hand(self._host, self._fleet.fleet, self._tally, self._store)
+
+    def answered(self, group: str, utility: float, code: int, tenths: int, dispatches: int) -> None:
+        self._tally.answered(group, utility, code, tenths, dispatches)
--- /dev/null
+++ b/vanerelay/seam.py
@@ -0,0 +1,122 @@
+"""How a subsystem joins the served program: what it may see, when it is asked, what it may answer. Types.
+
+`net/` knows this page and no subsystem; a subsystem knows this page and nothing of `net/service.py` or
+`net/program.py`. Which subsystems there are stands in `joining.py`, above both."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+    from vanerelay.decide import Gateway
+    from vanerelay.net.clock import Clock
+    from vanerelay.net.ends import End
+    from vanerelay.net.feed import Change
+
+Listed = Callable[["Change"], None]
+Answered = Callable[[], None]
+
+
+class BadStart(Exception):
+    """Why the program cannot start, in one line."""
+
+
+class Host(Protocol):
+    """The served program, as a subsystem sees it. `kept`: whether a keeper holds the clients' socket."""
+
+    @property
+    def reactor(self) -> Any: ...
+    @property
+    def clock(self) -> Clock: ...
+    @property
+    def name(self) -> str: ...
+    @property
+    def seed(self) -> int: ...
+    @property
+    def kept(self) -> bool: ...
+    @property
+    def profile(self) -> dict[str, Any]:
+        """The settings in force."""
+
+    @property
+    def limits(self) -> Mapping[str, Any]:
+        """What the platform gives us, as it names it."""
+
+    @property
+    def places(self) -> Mapping[str, int]:
+        """Locations by name; `kinds` likewise."""
+
+    @property
+    def kinds(self) -> Mapping[str, int]: ...
+    @property
+    def gateway(self) -> Gateway:
+        """The module, for those that hand its decisions on."""
+
+    def addresses(self) -> dict[int, str]:
+        """Where each engine is listed, by the module's index."""
+
+    def settle(self, settings: dict[str, Any]) -> str | None:
+        """Goes on under other settings of the fleet's; why it can't."""
+
+    def order(self, engine: int, words: Sequence[bytes], ident: bytes, patience_s: float) -> Deferred[End]:
+        """A command to an engine that is no batch. The Deferred never fails."""
+
+    def large(self) -> None:
+        """A change of many engines is in force."""
+
+
+class Part:
+    """One subsystem in the program: each call in the order of this page, all of them empty here."""
+
+    busy = False  # whether something is under way that a long pass would disturb
+
+    def settings(self, profile: dict[str, Any]) -> dict[str, Any]:
+        """The settings to start with, in place of those configured."""
+        return profile
+
+    def again(self, profile: dict[str, Any]) -> dict[str, Any]:
+        """The same where the configuration is read once more."""
+        return profile
+
+    def between(self, listed: Listed, answered: Answered | None) -> tuple[Listed, Answered | None]:
+        """What is told of the control feed's changes, and of whether it answers, in place of these."""
+        return listed, answered
+
+    def open(self) -> None:
+        """The list of the start is in force. Raises BadStart."""
+
+    def begin(self) -> None:
+        """All parts are open. Raises BadStart."""
+
+    def running(self) -> None:
+        """The loop is about to run."""
+
+    def listed(self, change: Change) -> None:
+        """A change of the list is in force."""
+
+    def answered(self, group: str, utility: float, code: int, tenths: int, dispatches: int) -> None:
+        """What became of a batch: the part of its utility that its answer earned, the frames' code, how long
+        it took, how many dispatches it had."""
+
+    def refuses(self, profile: dict[str, Any]) -> str | None:
+        """Why these settings can't take the place of those in force."""
+        return None
+
+    def switched(self, profile: dict[str, Any]) -> dict[str, Any]:
+        """These settings are in force; words for the log."""
+        return {}
+
+    def draining(self) -> None:
+        """Nothing new is to be begun."""
+
+    def stop(self) -> Deferred[Any] | None:
+        """All batches are answered; fires once it has ended, None where it has."""
+        return None
+
+
+def tells(part: Part, name: str) -> bool:
+    """Whether a part wants to be told of something, so that nothing is worked out for nobody."""
+    return getattr(type(part), name) is not getattr(Part, name)
--- a/vanerelay/xds/service.py
+++ b/vanerelay/xds/service.py
@@ -26,8 +26,8 @@
 from vanerelay.membership.desk import Answer
 from vanerelay.net.clock import UNITS, Clock
 from vanerelay.net.feed import Change
-from vanerelay.net.service import Service
 from vanerelay.net.sparing import Sparing
+from vanerelay.seam import Host
 from vanerelay.xds import resources
 from vanerelay.xds.assign import Plan, Steady, Terms, plan
 from vanerelay.xds.census import Census
@@ -221,7 +221,7 @@
         reactor: Any,
         clock: Clock,
         parts: Parts,
-        service: Service,
+        host: Host,
         terms: Terms,
         locations: Sequence[str],
     ) -> None:
@@ -229,7 +229,7 @@
             reactor,
             clock,
             parts,
-            service,
+            host,
             terms,
         )
         self._locations = list(locations)
@@ -245,7 +245,6 @@
         self._refusal = Sparing(reactor, "a proxy refuses what it was told")
         self._server = Server(reactor, clock, parts.limits, parts.most, self._opened)
         self._port: Any = None
-        service.watchers.append(self._listed)
 
     def start(self) -> None:
         """Listens. Raises CannotListenError."""
@@ -319,7 +318,7 @@
 
     # What they are told.
 
-    def _listed(self, change: Change) -> None:
+    def listed(self, change: Change) -> None:
         """The list changed: plans are made anew at once."""
         for member in change.members:
             if member.state is EngineState.DRAINING:
