--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,153 @@
+"""Checkers, shown histories that are right and wrong: one that finds nothing wrong has shown nothing."""
+
+import random
+import time
+
+import pytest
+
+from tests.histories import deeds, register
+
+A, B, C = "a/1", "b/2", "c/3"
+
+
+def order(begin, number, serial, holder=A, party="e1", end=None, task="t", result="ok"):
+    end = begin + 2 if end is None else end
+    return {
+        "party": party,
+        "op": "order",
+        "begin": begin,
+        "end": end,
+        "task": task,
+        "number": number,
+        "serial": serial,
+        "holder": holder,
+        "result": result,
+    }
+
+
+def op(name, begin, end, number, holder=A, task="t"):
+    return {
+        "party": holder[0],
+        "op": name,
+        "begin": begin,
+        "end": end,
+        "task": task,
+        "number": number,
+        "holder": holder,
+        "result": "ok",
+    }
+
+
+RIGHT = {
+    "one holder": [order(0, 1, 1), order(5, 1, 2)],
+    "taken over": [order(0, 1, 1), order(5, 2, 1, B), order(9, 2, 2, B)],
+    "a refused one is no deed": [order(0, 2, 1, B), order(5, 1, 9, result="refused")],
+    "two tasks at once": [order(0, 5, 1, A, task="t"), order(1, 1, 1, B, task="u")],
+    "two receivers, each in its order": [order(0, 1, 1), order(1, 2, 1, B, "e2")],
+    "one holder's deeds may overlap": [order(0, 1, 1, end=9), order(2, 1, 2, end=5)],
+}
+WRONG = {
+    "two at once": [order(0, 1, 1, end=9), order(5, 2, 1, B)],
+    "two at once, the later one first": [order(0, 2, 1, B, end=9), order(5, 1, 1)],
+    "a number that falls": [order(0, 2, 1, B), order(5, 1, 1)],
+    "a number that falls much later": [order(0, 1, 1), order(5, 3, 1, B), order(50, 2, 1, C)],
+    "one number, two holders": [order(0, 1, 1), order(5, 1, 2, B)],
+    "one number, two holders at two receivers": [order(0, 1, 1), order(5, 1, 1, B, "e2")],
+    "a deed twice": [order(0, 1, 1), order(5, 1, 1)],
+    "a deed that was overtaken": [order(0, 1, 2), order(5, 1, 1)],
+    "one that ends before it begins": [order(5, 1, 1, end=4)],
+    "the old one again after the new": [order(0, 1, 1), order(5, 2, 1, B), order(9, 1, 2)],
+    "at once in the second task": [
+        order(0, 1, 1),
+        order(0, 1, 1, A, "e1", 9, "u"),
+        order(3, 2, 1, B, task="u"),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", RIGHT)
+def test_deeds_that_are_right(name):
+    assert deeds.wrong(RIGHT[name]) == []
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_deeds_that_are_wrong(name):
+    assert deeds.wrong(WRONG[name]) != [] and deeds.wrong(list(reversed(WRONG[name]))) != []
+
+
+IN_ORDER = {
+    "held and renewed": [op("acquire", 0, 2, 1), op("renew", 5, 6, 1), op("renew", 8, 9, 1)],
+    "taken over": [op("acquire", 0, 2, 1), op("acquire", 9, 11, 2, B), op("renew", 12, 13, 2, B)],
+    "numbers may be left out": [op("acquire", 0, 2, 1), op("acquire", 9, 11, 7, B)],
+    "a renewal that is answered late": [
+        op("acquire", 0, 2, 1),
+        op("renew", 5, 30, 1),
+        op("acquire", 9, 11, 2, B),
+    ],
+    "two ask at once": [op("acquire", 0, 9, 2), op("acquire", 1, 8, 1, B)],
+    "one that nobody heard the end of": [op("asked", 0, 1, 1), op("acquire", 5, 6, 2, B)],
+    "... and that was": [op("asked", 0, 1, 1, B), op("acquire", 5, 6, 2)],
+    "given back": [op("acquire", 0, 2, 1), op("release", 3, 3, 1), op("acquire", 4, 5, 2, B)],
+    "two tasks": [op("acquire", 0, 2, 1), op("acquire", 0, 2, 1, B, "u"), op("renew", 3, 4, 1)],
+}
+OUT_OF_ORDER = {
+    "renewed after another had it": [op("acquire", 0, 2, 1), op("acquire", 5, 6, 2, B), op("renew", 7, 8, 1)],
+    "a number that falls": [op("acquire", 0, 2, 2), op("acquire", 5, 6, 1, B)],
+    "a number twice": [op("acquire", 0, 2, 1), op("acquire", 5, 6, 1, B)],
+    "a number twice by one": [op("acquire", 0, 2, 1), op("acquire", 5, 6, 1)],
+    "renewed by one that never had it": [op("acquire", 0, 2, 1), op("renew", 3, 4, 1, B)],
+    "renewed before it was held": [op("renew", 0, 1, 1), op("acquire", 2, 3, 1)],
+    "renewed under another's number": [
+        op("acquire", 0, 2, 1),
+        op("acquire", 3, 4, 2, B),
+        op("renew", 5, 6, 2),
+    ],
+    "two at once that both renew": [
+        op("acquire", 0, 9, 1),
+        op("acquire", 1, 8, 2, B),
+        op("renew", 10, 11, 1),
+        op("renew", 10, 11, 2, B),
+    ],
+    "to and fro": [
+        op("acquire", 0, 1, 1),
+        op("acquire", 2, 3, 2, B),
+        op("acquire", 4, 5, 3),
+        op("renew", 6, 7, 2, B),
+    ],
+    "of one task alone": [op("acquire", 0, 2, 1), op("acquire", 0, 2, 2, B, "u"), op("renew", 3, 4, 2, B)],
+    "after a lost one that must have been": [
+        op("acquire", 0, 1, 1),
+        op("asked", 2, 3, 2, B),
+        op("renew", 9, 10, 2, C),
+        op("renew", 11, 12, 1),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", IN_ORDER)
+def test_a_register_that_could_be(name):
+    assert register.wrong(IN_ORDER[name]) == []
+
+
+@pytest.mark.parametrize("name", OUT_OF_ORDER)
+def test_a_register_that_could_not_be(name):
+    assert register.wrong(OUT_OF_ORDER[name]) != []
+
+
+def test_there_are_wrong_histories_enough():
+    assert len(WRONG) + len(OUT_OF_ORDER) >= 20
+
+
+def test_long_histories_are_settled():
+    """20,000 operations, six at once at the most, in seconds; and one wrong one among them is found."""
+    chance, rows, at = random.Random(1), [], 0
+    for number in range(1, 2001):
+        holder = chance.choice((A, B, C))
+        rows.append(op("acquire", at, at + 5, number, holder))
+        rows += [op("renew", at + 6 + turn, at + 12 + turn, number, holder) for turn in range(9)]
+        at += 30
+    began = time.monotonic()
+    assert register.wrong(rows) == []
+    rows.append(op("renew", at, at + 1, 1000, A))
+    assert register.wrong(rows) != []
+    assert time.monotonic() - began < 60
--- /dev/null
+++ b/tests/test_leases_model.py
@@ -0,0 +1,248 @@
+"""Leases, every order of events: three voters, two askers, late and lost messages, a voter that loses its
+memory, one whose clock runs fast. The decisions are the served ones; broken on purpose, each flaw shows.
+
+A state is a flat tuple of small numbers: slots, claims and messages are numbered as they are met, so that
+states compare quickly. A message that is never delivered is a lost one."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, replace
+from functools import cache
+from typing import NamedTuple
+
+import pytest
+
+from vanerelay.leases.quorum import (
+    Claim,
+    Slot,
+    Stage,
+    Terms,
+    Voters,
+    accept,
+    prepare,
+)
+
+NAMES, ASKERS = ("v0", "v1", "v2"), "ab"
+VOTERS = Voters(1, NAMES)
+TERM = 2  # by voters' clocks; the fast one passes it in one
+TERMS = Terms(term=TERM, longest=TERM, drift=1.0)
+
+
+@dataclass(frozen=True)
+class Model:
+    """What may happen, how often, and what is broken. `rounds` that each asker begins; `amnesia`: times that
+    a voter loses its memory, `restarts`: only its clock; `late`: answers to renewals are on their way."""
+
+    horizon: int = 2
+    rounds: tuple[int, int] = (1, 1)
+    renewals: int = 0
+    amnesia: int = 0
+    restarts: int = 0
+    fast: bool = False
+    doubled: int = 0
+    late: bool = False
+    broken: str = ""
+
+
+class State(NamedTuple):
+    """`silent`: until when a voter without memory says nothing, -1 where it knows; `flying`: messages, a bit
+    each; `held`: what came to be held, in this order."""
+
+    now: int
+    slots: tuple[int, ...]
+    silent: tuple[int, ...]
+    claims: tuple[int, ...]
+    rounds: tuple[int, ...]
+    renewed: int
+    amnesia: int
+    restarts: int
+    doubled: int
+    flying: int
+    held: int
+
+
+class Numbered:
+    """Values by small numbers."""
+
+    def __init__(self, *first):
+        self.values, self.numbers = [], {}
+        for value in first:
+            self.number(value)
+
+    def number(self, value):
+        found = self.numbers.setdefault(value, len(self.values))
+        if found == len(self.values):
+            self.values.append(value)
+        return found
+
+
+class Explored:
+    """All that can happen under a model."""
+
+    def __init__(self, model, most=3_000_000):
+        self.model, self.terms = model, TERMS
+        if model.broken == "skew":
+            self.terms = Terms(term=TERM, longest=TERM, drift=0.0)
+        self.slots, self.claims = Numbered(Slot()), Numbered(Claim())
+        self.messages, self.held = Numbered(), Numbered(())
+        self.states, self.wrong, self.reached = 0, None, set()
+        for name in ("_prepare", "_accept", "_took", "_heal"):
+            setattr(self, name, cache(getattr(self, name)))
+        first = State(0, (0,) * 3, (-1,) * 3, (0, 0), model.rounds, 0, 0, 0, 0, 0, 0)
+        seen, line = {first}, deque([first])
+        while line and self.wrong is None:
+            for new in self.after(line.popleft()):
+                if new in seen:
+                    continue
+                seen.add(new)
+                line.append(new)
+                self.wrong = self.harm(new)
+                if self.wrong is not None:
+                    break
+            assert len(seen) < most, f"more than {most} states"
+        self.states = len(seen)
+
+    def clock(self, voter, now):
+        return 2 * now if self.model.fast and voter == 0 else now
+
+    def send(self, *messages):
+        mask = 0
+        for message in messages:
+            mask |= 1 << self.messages.number(message)
+        return mask
+
+    def after(self, state):
+        """All states that one event leads to."""
+        model, now = self.model, state.now
+        if now < model.horizon:
+            yield state._replace(now=now + 1)
+        for who in (0, 1):
+            claim = self.claims.values[state.claims[who]]
+            if state.rounds[who] and claim.stage is Stage.IDLE and not claim.holds(now):
+                new = claim.ask(now, ASKERS[who], who)
+                sent = self.send(*(("P", who, voter, new.ballot) for voter in range(3)))
+                yield state._replace(
+                    claims=put(state.claims, who, self.claims.number(new)),
+                    rounds=put(state.rounds, who, state.rounds[who] - 1),
+                    flying=state.flying | sent,
+                )
+            if state.renewed < model.renewals and claim.stage is Stage.HOLDING and claim.holds(now):
+                new, serial = claim.renew(now)
+                sent = self.send(*(("A", who, voter, new.grant, serial) for voter in range(3)))
+                yield state._replace(
+                    claims=put(state.claims, who, self.claims.number(new)),
+                    renewed=state.renewed + 1,
+                    flying=state.flying | sent,
+                )
+        for voter in range(3):
+            yield from self.struck(state, voter)
+        flying, place = state.flying, 0
+        while flying:
+            if flying & 1:
+                bit = 1 << place
+                yield from self.delivered(state._replace(flying=state.flying ^ bit), place)
+                if state.doubled < model.doubled and self.messages.values[place][0] == "A":
+                    yield from self.delivered(state._replace(doubled=state.doubled + 1), place)
+            flying, place = flying >> 1, place + 1
+
+    def struck(self, state, voter):
+        model, at = self.model, self.clock(voter, state.now)
+        if state.amnesia < model.amnesia:
+            yield state._replace(
+                slots=put(state.slots, voter, 0),
+                silent=put(state.silent, voter, at + (0 if model.broken == "silence" else TERM)),
+                amnesia=state.amnesia + 1,
+            )
+        if state.restarts < model.restarts and state.silent[voter] < 0:
+            slot = self.slots.values[state.slots[voter]]
+            kept = self.slots.number(replace(slot, until=at + slot.grant.term))
+            yield state._replace(slots=put(state.slots, voter, kept), restarts=state.restarts + 1)
+        others = [one for one in range(3) if one != voter]
+        if 0 <= state.silent[voter] <= at and all(state.silent[one] < 0 for one in others):
+            slot = self._heal(*(state.slots[one] for one in others), at)
+            yield state._replace(slots=put(state.slots, voter, slot), silent=put(state.silent, voter, -1))
+
+    def _heal(self, one, other, at):
+        known = self.slots.values[one], self.slots.values[other]
+        grant = max((slot.grant for slot in known), key=lambda grant: grant.ballot)
+        until = at + grant.term if grant.holder else 0
+        return self.slots.number(Slot(max(slot.promised for slot in known), grant, until))
+
+    def delivered(self, state, place):
+        kind, who, voter, *_ = self.messages.values[place]
+        at, claim = self.clock(voter, state.now), state.claims[who]
+        if kind == "R":
+            yield self.took(state, who, place, claim)
+        elif state.silent[voter] >= 0:
+            return
+        elif kind == "P":
+            slot, claim, sent = self._prepare(place, state.slots[voter], at, claim, state.now)
+            yield state._replace(
+                slots=put(state.slots, voter, slot),
+                claims=put(state.claims, who, claim),
+                flying=state.flying | sent,
+            )
+        else:
+            slot, answer = self._accept(place, state.slots[voter], at)
+            state = state._replace(slots=put(state.slots, voter, slot))
+            if self.model.late and self.messages.values[answer][4]:
+                yield state._replace(flying=state.flying | 1 << answer)
+            else:
+                yield self.took(state, who, answer, claim)
+
+    def _prepare(self, place, slot, at, claim, now):
+        _, who, voter, ballot = self.messages.values[place]
+        old = self.claims.values[claim]
+        new_slot, reply = prepare(self.slots.values[slot], at, ballot)
+        new, sent = old.promised(now, NAMES[voter], ballot, reply, VOTERS, self.terms, 0), 0
+        if old.stage is Stage.ASKING and new.stage is Stage.TAKING:
+            if self.model.broken == "number":
+                new = replace(new, grant=new.grant._replace(number=max(1, new.best.number)))
+            sent = self.send(*(("A", who, one, new.grant, 0) for one in range(3)))
+        return self.slots.number(new_slot), self.claims.number(new), sent
+
+    def _accept(self, place, slot, at):
+        _, who, voter, grant, serial = self.messages.values[place]
+        new, reply = accept(self.slots.values[slot], at, grant)
+        return self.slots.number(new), self.messages.number(("R", who, voter, grant.ballot, serial, reply))
+
+    def took(self, state, who, place, claim):
+        claim, held = self._took(place, claim, state.now, who, state.held)
+        return state._replace(claims=put(state.claims, who, claim), held=held)
+
+    def _took(self, place, claim, now, who, held):
+        _, _, voter, ballot, serial, reply = self.messages.values[place]
+        old = self.claims.values[claim]
+        new = old.taken(NAMES[voter], ballot, serial, reply, VOTERS, self.terms)
+        if self.model.broken == "answer" and new.until > old.until:
+            new = replace(new, until=now + self.terms.held(TERM))
+        before = self.held.values[held]
+        mark = new.grant.number, who
+        if new.holds(now) and mark not in before[-1:]:
+            held = self.held.number((*before, mark))
+        return self.claims.number(new), held
+
+    def harm(self, state):
+        """What must never be: two that hold, a number that falls or is used twice."""
+        if all(self.claims.values[claim].holds(state.now) for claim in state.claims):
+            return "two hold"
+        marks = self.held.values[state.held]
+        self.reached.add(len(marks))
+        if any(a[0] >= b[0] for a, b in zip(marks, marks[1:], strict=False)):
+            return "a number does not rise"
+        return None
+
+
+def put(values, place, value):
+    return (*values[:place], value, *values[place + 1 :])
+
+
+if __name__ == "__main__":
+    import sys
+    import time
+
+    for text in sys.argv[1:]:
+        began = time.monotonic()
+        found = Explored(eval(f"Model({text})"), 20_000_000)
+        print(text, found.states, found.wrong, found.reached, f"{time.monotonic() - began:.1f} s", flush=True)
--- a/vanerelay/fleet/commands.py
+++ b/vanerelay/fleet/commands.py
@@ -135,3 +135,84 @@
         return found
 
     return ask(first).addCallback(others).addCallback(ended)
+
+
+@fleet.command()
+@FILE
+@ADDRESS
+@click.option("--json", "as_json", is_flag=True, help="Tells JSON, an object a line.")
+def leases(options: str | None, address: str | None, as_json: bool) -> None:
+    """Who holds which task of the fleet, as each manager that answers says of itself, and how voters stand.
+
+    Exits with 1 where a task is held by nobody, or too few voters vote."""
+    first = asked_address(options, address)
+    views: dict[str, Any] = run(lambda reactor: _leases(reactor, first))
+    found = _held(views)
+    for row in found["tasks"]:
+        if as_json:
+            click.echo(json.dumps(row))
+        else:
+            number = f"{row['number'] >> 32}.{row['number'] & 0xFFFFFFFF}"
+            held = f"{row['holder']:<12} {number:<10} {row['left_ms'] / 1000:.1f} s left"
+            click.echo(f"{row['task']:<20} {held if row['holder'] else 'held by nobody'}")
+    for row in found["voters"]:
+        if as_json:
+            click.echo(json.dumps(row))
+        else:
+            why = f"  {row['why']}" if row["why"] else ""
+            click.echo(f"voter {row['voter']:<14} {row['memory']:<10} era {row['era']}{why}")
+    sys.exit(0 if found["good"] else 1)
+
+
+def _leases(reactor: Any, first: str) -> Deferred[dict[str, Any]]:
+    from vanerelay.leases import words as lease_words
+
+    links = Links(reactor)
+
+    def each(views: dict[str, words.View]) -> Deferred[dict[str, Any]]:
+        at = {
+            row.name: row.address
+            for view in views.values()
+            for row in view.rows
+            if row.address and row.standing != Standing.LEFT
+        }
+        names = sorted(at)
+        asked = [links.ask(at[name], "leases", b"", PATIENCE_S) for name in names]
+
+        def ended(results: list[tuple[bool, Any]]) -> dict[str, Any]:
+            links.stop()
+            told = [lease_words.unpack(body, lease_words.View) for good, body in results if good]
+            return {view.name: view for view in told if view is not None}
+
+        return DeferredList(asked, consumeErrors=True).addCallback(ended)
+
+    return _views(reactor, first).addCallback(each)
+
+
+def _held(views: dict[str, Any]) -> dict[str, Any]:
+    """Of all views: tasks with their holders, voters with their standing, and whether all is well."""
+    from vanerelay.leases.quorum import Voters
+
+    tasks, voters = dict[str, dict[str, Any]](), dict[str, dict[str, Any]]()
+    newest = max(views.values(), key=lambda view: view.version, default=None)
+    for name, view in sorted(views.items()):
+        for row in view.rows:
+            known = tasks.setdefault(row.task, {"task": row.task, "holder": "", "number": 0, "left_ms": 0})
+            if row.holds and row.number > known["number"]:
+                known |= {"holder": name, "number": row.number, "left_ms": row.left_ms}
+    counted = Voters(1, tuple(newest.voters), tuple(newest.before)) if newest is not None else Voters()
+    for name in counted.all:
+        view = views.get(name)
+        memory, era = (view.memory, view.era) if view is not None else ("no answer", 0)
+        voters[name] = {
+            "voter": name,
+            "memory": memory,
+            "era": era,
+            "why": view.why if view is not None else "",
+        }
+    enough = counted.enough(name for name, row in voters.items() if row["memory"] == "knows")
+    return {
+        "tasks": [tasks[name] for name in sorted(tasks)],
+        "voters": list(voters.values()),
+        "good": enough and bool(tasks) and all(row["holder"] for row in tasks.values()),
+    }
--- a/vanerelay/history.py
+++ b/vanerelay/history.py
@@ -14,14 +14,14 @@
 TENTH = 100_000  # nanoseconds in the module's unit
 
 
-def clock() -> int:
-    """The machine's monotonic clock in the module's unit."""
-    return time.monotonic_ns() // TENTH
-
-
 class History:
     """Lines of JSON, each whole and in the file once `add` returns, so that a kill loses none."""
 
+    @staticmethod
+    def now() -> int:
+        """The machine's monotonic clock in the module's unit."""
+        return time.monotonic_ns() // TENTH
+
     def __init__(self, party: str, path: str = "") -> None:
         self.party, self._file = party, -1
         if path:
@@ -31,7 +31,7 @@
     def add(self, op: str, begin: int, end: int | None = None, **told: Any) -> None:
         """`end`: now where it is not told; -1 where nothing is known of it."""
         if self._file >= 0:
-            row = {"party": self.party, "op": op, "begin": begin, "end": clock() if end is None else end}
+            row = {"party": self.party, "op": op, "begin": begin, "end": self.now() if end is None else end}
             os.write(self._file, json.dumps(row | told).encode() + b"\n")
 
 
--- a/vanerelay/lab/hosts.py
+++ b/vanerelay/lab/hosts.py
@@ -10,10 +10,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from vanerelay.history import History
 from vanerelay.interface import SECOND
 from vanerelay.lab.model import Cold, Engine, Job, Machine, Put, Word
 from vanerelay.lab.net import Joint, Network
 from vanerelay.lab.record import Record, Row, What
+from vanerelay.leases.hold import Gate
 from vanerelay.net.clock import UNITS
 from vanerelay.net.resp import command
 
@@ -21,15 +23,18 @@
 TOLD_MOST = 7 * SECOND  # what the feed has to tell counts as told by then
 QUERY = re.compile(rb"SUB=(\d+)&wait=(\d+)")
 Later = Callable[[float, Callable[[], None]], Any]
+ORDER_S = 0.02  # that an order takes an engine
 
 
 @dataclass(slots=True)
 class World:
-    """What all hosts of a play share. `zero`: the module's time at which the load starts."""
+    """What all hosts of a play share. `zero`: the module's time at which the load starts; `histories`: the
+    folder where parties of the laboratory write what they did, empty: nowhere."""
 
     net: Network
     record: Record
     zero: int = 0
+    histories: str = ""
 
     def now(self) -> int:
         return self.net.now()
@@ -90,8 +95,12 @@
         seed: int,
         feed: FeedHost,
         fresh: bool = False,
+        refuses: bool = True,
     ) -> None:
+        """`refuses`: whether it refuses orders of a holder that was followed, or takes whatever comes."""
         self._world, self.name, self.kind, self.place, self._feed = world, name, kind, place, feed
+        self._gate, self._refuses = Gate(), refuses
+        self._history = History(name, f"{world.histories}/{name}.jsonl" if world.histories else "")
         self.model = Engine(machine, cold, world.now(), fresh)
         self._chance, self._timer = random.Random(seed), None
         self.jobs = dict[str, tuple[EngineSession, bytes, str]]()  # session, id, group
@@ -147,6 +156,28 @@
             self.model.fail(world.now(), key)
         self.touch()
 
+    def order(self, session: EngineSession, ident: bytes, told: bytes) -> None:
+        """An order under a lease: what goes with it is looked at before anything is done."""
+        fields = dict(pair.split("=", 1) for pair in told.decode().split(",") if "=" in pair)
+        task, holder = fields.get("task", ""), fields.get("holder", "")
+        number, serial = int(fields.get("number", 0)), int(fields.get("serial", 0))
+        begun = self._history.now()
+        row: dict[str, Any] = {"task": task, "number": number, "serial": serial, "holder": holder}
+        why = self._gate.refuses(task, number, serial, holder) if self._refuses else None
+        if self.model.down or self.model.stalled:
+            return  # nobody is there to hear it, or to answer
+        if why is not None:
+            self._history.add("order", begun, result="refused", **row)
+            session.say(ident, b"ERR", b"number=%d" % self._gate.number(task))
+            return
+        self._gate.takes(task, number, serial, holder)
+
+        def done() -> None:
+            self._history.add("order", begun, result="ok", **row)
+            session.say(ident, b"OK", b"total=1")
+
+        self._later(ORDER_S, done)
+
     def cancel(self, session: EngineSession, ident: bytes) -> None:
         key = f"{session.number}/{ident.decode()}"
         self.model.advance(self._world.now())
@@ -259,6 +290,8 @@
                 self._host.serve(self, *parts[1:4])
             elif parts[0] == b"cancel":
                 self._host.cancel(self, parts[1])
+            elif parts[0] == b"order" and len(parts) > 2:
+                self._host.order(self, *parts[1:3])
             elif parts[0] == b"health":
                 self.say(parts[1], b"UP", b"-")
 
--- a/vanerelay/lab/play.py
+++ b/vanerelay/lab/play.py
@@ -5,10 +5,11 @@
 import contextlib
 import fnmatch
 import json
+import shutil
 import signal
 import socket
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -59,7 +60,12 @@
         self.clock = Clock()
         self.net = Network(reactor, self.clock, seed)
         self.record = Record()
-        self.world = World(self.net, self.record, self.clock.now())
+        self._histories = folder / "history"
+        shutil.rmtree(self._histories, ignore_errors=True)  # of a play before
+        leased = "leases {" in script.managers.options
+        histories = str(self._histories) if leased else ""
+        self.world = World(self.net, self.record, self.clock.now(), histories)
+        self._founded = 0  # times that the files of the beginning were written
         self.feed = FeedHost(self.world, script.feed_late)
         self.parties = Parties()
         self.managers = dict[str, Manager]()
@@ -166,6 +172,7 @@
             self.seed * 1000 + len(self.engines),
             self.feed,
             fresh,
+            next(one.refuses for one in self.script.engines if one.kind == kind),
         )
         self.engines[name] = self.feed.engines[name] = host
         self.parties.locations[name] = place
@@ -231,6 +238,8 @@
             "FIRST": next(iter(self._listens.values())),
             "MEMBERS": members,
             "TREE": str(tree),
+            "HISTORY": str(self._histories / f"{party}.jsonl"),
+            "FOUNDED": str(self._founded),
         }
         for word, value in words.items():
             text = text.replace(f"@{word}@", value)
@@ -282,6 +291,7 @@
 
     def run(self) -> Deferred[None]:
         """Fires once all is over; fails with BadPlay."""
+        self._found(self.managers)
         for manager in self.managers.values():
             manager.start()
         self._limit = self._reactor.callLater(START_S, self._not_started)
@@ -290,6 +300,15 @@
         self._await_start()
         return self._done
 
+    def _found(self, names: Iterable[str]) -> None:
+        """Files of the beginning, as operators write them."""
+        self._founded += 1
+        for manager in (self.managers[name] for name in names):
+            for file in self.script.managers.files:
+                path = manager.folder / file.name
+                path.parent.mkdir(parents=True, exist_ok=True)
+                path.write_text(self._filled(file.text, manager.name, manager.folder, manager.tree))
+
     def _await_start(self) -> None:
         if self._done.called:
             return
@@ -514,8 +533,10 @@
             if manager.pid is not None:  # not ended yet: it starts again once it has
                 self._reactor.callLater(0.1, self._heal_manager, fault, manager)
                 return
-            if fault.folder == "gone":
+            if fault.folder != "kept":
                 manager.clear()
+            if fault.folder == "founded":
+                self._found([manager.name])
             if fault.release:
                 self._on(manager, self._releases[fault.release])
             manager.start()
--- a/vanerelay/lab/script.py
+++ b/vanerelay/lab/script.py
@@ -49,7 +49,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Engines:
-    """Some engines alike: `count` of them, in `locations` in turn."""
+    """Some engines alike: `count` of them, in `locations` in turn. `refuses`: orders under a lease that was
+    taken over."""
 
     kind: str
     count: int
@@ -57,13 +58,23 @@
     memory: float = 8000.0
     connections: int = 0
     locations: tuple[str, ...] = ("here",)
+    refuses: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """A file of a process: its `text`, with words of the laboratory filled in, or managers' `settings`."""
+
+    name: str
+    text: str = ""
+    settings: tuple[tuple[str, Any], ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Managers:
-    """`count` of them, in `locations` in turn. `options`: an operators' file with @NAME@, @FOLDER@ and other
-    words of the laboratory filled in for each. `talk`: datagrams among them; `keeper`: each by a keeper,
-    which knows the script's releases."""
+    """`count` of them, in `locations` in turn. `files`: in each one's folder when the play begins; `options`:
+    an operators' file with @NAME@, @FOLDER@ and other words of the laboratory filled in for each; `talk`:
+    datagrams among them; `keeper`: each by a keeper, which knows the script's releases."""
 
     count: int
     locations: tuple[str, ...] = ("here",)
@@ -72,15 +83,7 @@
     options: str = ""
     talk: bool = False
     keeper: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Written:
-    """A file of a process: its `text`, with words of the laboratory filled in, or managers' `settings`."""
-
-    name: str
-    text: str = ""
-    settings: tuple[tuple[str, Any], ...] | None = None
+    files: tuple[Written, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +163,7 @@
     "engines": ("crash", "vanish", "stall", "pace", "errors", "drain", "replace"),
     "": ("load",),
 }
-FOLDERS = ("kept", "gone")
+FOLDERS = ("kept", "gone", "founded")  # founded: gone, and the files of the beginning written anew
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,7 +245,7 @@
         length=document.take("length", Span, 20 * SECOND),
         groups=groups,
         engines=engines,
-        managers=_filled(managers, Managers),
+        managers=_filled(managers, Managers, files=_files(managers)),
         releases=releases,
         programs=tuple(_program(one) for one in document.all("program")),
         clients=_one(document, "clients", Clients),
@@ -276,8 +279,8 @@
     return found
 
 
-def _program(block: Block) -> Program:
-    files = tuple(
+def _files(block: Block) -> tuple[Written, ...]:
+    return tuple(
         _filled(
             one,
             Written,
@@ -286,7 +289,10 @@
         )
         for one in block.all("file")
     )
-    return _filled(block, Program, name=block.label, files=files)
+
+
+def _program(block: Block) -> Program:
+    return _filled(block, Program, name=block.label, files=_files(block))
 
 
 def _settings(block: Block | _Document) -> tuple[tuple[str, Any], ...]:
--- a/vanerelay/leases/disk.py
+++ b/vanerelay/leases/disk.py
@@ -57,6 +57,17 @@
             raise Unkept(f"{self._path}: {fault}") from None
         return {str(key): bytes(body) for key, body in rows}
 
+    def word(self, name: str) -> str:
+        """A word of an operator, in a file beside the records; empty where there is none."""
+        try:
+            return self._path.with_name(name).read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError):
+            return ""
+
+    def used(self, name: str) -> None:
+        """The word counts no more."""
+        self._path.with_name(name).unlink(missing_ok=True)
+
     def put(self, space: str, records: Mapping[str, bytes | None]) -> Deferred[None]:
         """Fires once these, and all put before them, are on disk; None takes a record away. Fails with
         Unkept. Without records: once all put before are."""
--- a/vanerelay/leases/join.py
+++ b/vanerelay/leases/join.py
@@ -10,11 +10,10 @@
 from twisted.internet.defer import Deferred
 
 from vanerelay.fleet.join import FleetPart
-from vanerelay.history import clock as history_clock
 from vanerelay.holding import conditions
 from vanerelay.leases import chores
 from vanerelay.leases.chores import Rounds
-from vanerelay.leases.disk import Unkept
+from vanerelay.leases.disk import Disk, Unkept
 from vanerelay.leases.hold import Deed, Hold
 from vanerelay.leases.parts import Chore, Parts
 from vanerelay.leases.service import Leases
@@ -38,8 +37,13 @@
     def open(self) -> None:
         host, process = self._host, int.from_bytes(os.urandom(PROCESS), "big")
         chance = random.Random(f"{host.seed}/leases")
+        parts, disk = self._parts, None
         try:
-            self.leases = Leases(host.reactor, self._fleet.fleet, self._parts, chance, process)
+            if host.name in parts.voters.all:
+                if not parts.folder:
+                    raise Unkept("a voter needs a folder in its leases block")
+                disk = Disk(host.reactor, parts.folder)
+            self.leases = Leases(host.reactor, self._fleet.fleet, parts, chance, process, disk)
         except Unkept as fault:
             raise BadStart(f"leases: {fault}") from None
         for chore in self._parts.chores:
@@ -106,7 +110,7 @@
             for sign, value in filled.items():
                 word = word.replace(sign, value)
             told.append(word.encode())
-        begun = history_clock()
+        begun = self._leases.history.now()
         sent = self._host.order(engine, told, ident.encode(), self._chore.patience / UNITS)
         sent.addCallback(self._answered, name, deed, begun)
 
--- a/vanerelay/leases/quorum.py
+++ b/vanerelay/leases/quorum.py
@@ -236,7 +236,7 @@
 
 
 class Stage(Enum):
-    """Where an asker is with one task."""
+    """Where an asker is with its round of one task. It may hold the task all the while (`Claim.holds`)."""
 
     IDLE = "idle"
     ASKING = "asking"  # for promises
@@ -254,8 +254,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """One asker's place in one task. `until`: by its own clock; `asked`: when the round began; `free`:
-    whether who held it before has given it back; `seen`: the highest round that it met."""
+    """One asker's place in one task. `until`: when what it holds is over, by its own clock, 0 where it holds
+    nothing; `asked`: when the round began; `free`: whether who held it before has given it back; `seen`: the
+    highest round that it met; `over`: some voter met a later ballot, so a round is due above that."""
 
     stage: Stage = Stage.IDLE
     ballot: Ballot = Ballot()
@@ -267,34 +268,52 @@
     until: int = 0
     free: bool = True
     seen: int = 0
-    over: bool = False  # a later ballot was met: this one is not renewed any more
+    over: bool = False
+
+    def holds(self, now: int) -> bool:
+        return now < self.until
 
     def ask(self, now: int, name: str, process: int) -> Claim:
-        """Begins anew: promises are wanted for `ballot`."""
+        """Begins a round: promises are wanted for `ballot`. What is held goes on being held."""
         ballot = Ballot(self.seen + 1, name, process)
-        return Claim(Stage.ASKING, ballot, now, seen=ballot.round)
+        held = self.holds(now)
+        return Claim(
+            Stage.ASKING,
+            ballot,
+            now,
+            grant=self.grant if held else Grant(),
+            until=self.until if held else 0,
+            seen=ballot.round,
+        )
 
     def promised(
         self, now: int, voter: str, ballot: Ballot, reply: Reply, voters: Voters, terms: Terms, floor: int
     ) -> Claim:
         """A voter's answer. With the last that is wanted `grant` is to be accepted by all. `floor`: a number
-        that this one has to be past, of the era and of what receivers are known to have seen."""
+        that a new one has to be past, of the era and of what receivers are known to have seen."""
         claim = replace(self, seen=max(self.seen, reply.promised.round))
-        if self.stage is not Stage.ASKING or ballot != self.ballot:
+        if self.stage is not Stage.ASKING or ballot != self.ballot or reply.said is not Said.YES:
             return claim
         if now >= self.asked + terms.held(terms.term):
-            return replace(claim, stage=Stage.IDLE)
-        if reply.said is not Said.YES:
-            return claim
+            return claim.ended(now)
         best = max(self.best, reply.grant, key=lambda one: one.ballot)
         claim = replace(claim, by=self.by | {voter}, best=best)
         if not voters.enough(claim.by):
             return claim
-        grant = Grant(max(best.number, floor) + 1, ballot.name, ballot.process, terms.term, ballot)
         ours = (best.holder, best.process) == (ballot.name, ballot.process)
+        # Nobody else can have held it since: it is the same holding under a later ballot.
+        same = ours and self.holds(now) and best.number == self.grant.number > floor
+        number = best.number if same else max(best.number, floor) + 1
+        grant = Grant(number, ballot.name, ballot.process, terms.term, ballot)
         # Counted from the first asking, whose promises it stands on.
-        first = Round(0, self.asked)
-        return replace(claim, stage=Stage.TAKING, grant=grant, rounds=(first,), free=not best.holder or ours)
+        return replace(
+            claim,
+            stage=Stage.TAKING,
+            grant=grant,
+            rounds=(Round(0, self.asked),),
+            until=self.until if same else 0,
+            free=not best.holder or ours,
+        )
 
     def renew(self, now: int) -> tuple[Claim, int]:
         """Once more under the same ballot; with the serial of this asking."""
@@ -312,19 +331,21 @@
             return replace(claim, over=True)
         if reply.said is not Said.YES:
             return claim
-        rounds, until = list(self.rounds), self.until
+        rounds, until, stage = list(self.rounds), self.until, self.stage
         for place, one in enumerate(rounds):
             if one.serial == serial:
                 rounds[place] = one._replace(by=one.by | {voter})
                 if voters.enough(rounds[place].by):
                     until = max(until, one.asked + terms.held(self.grant.term))
-        stage = Stage.HOLDING if until > self.until or self.stage is Stage.HOLDING else self.stage
+                    stage = Stage.HOLDING
         return replace(claim, rounds=tuple(rounds), until=until, stage=stage)
 
-    def holds(self, now: int) -> bool:
-        return self.stage is Stage.HOLDING and now < self.until
+    def ended(self, now: int) -> Claim:
+        """The round came to nothing; what is held is held until it is over."""
+        held = self.holds(now)
+        return Claim(grant=self.grant if held else Grant(), until=self.until if held else 0, seen=self.seen)
 
     def given_back(self) -> Claim:
         """Held no more from this moment; `grant` without a holder is to be accepted."""
         free = self.grant._replace(holder="", term=0)
-        return Claim(Stage.IDLE, self.ballot, grant=free, seen=self.seen)
+        return Claim(ballot=self.ballot, grant=free, seen=self.seen)
--- a/vanerelay/leases/service.py
+++ b/vanerelay/leases/service.py
@@ -12,15 +12,16 @@
 import structlog
 from twisted.internet.defer import Deferred, fail
 
-from vanerelay.fleet.links import Refused
+from vanerelay.fleet.alive import Standing
+from vanerelay.fleet.links import Refused, Unanswered, Unknown
 from vanerelay.fleet.service import Fleet
-from vanerelay.history import History, clock as history_clock
+from vanerelay.history import History
 from vanerelay.interface import MILLISECOND
 from vanerelay.leases import tasks, words
-from vanerelay.leases.disk import Unkept
+from vanerelay.leases.disk import Disk
 from vanerelay.leases.hold import Deed, Hold
 from vanerelay.leases.parts import Parts
-from vanerelay.leases.quorum import ERA, Claim, Stage
+from vanerelay.leases.quorum import ERA, Claim, Said, Stage
 from vanerelay.leases.tasks import Watch
 from vanerelay.leases.voting import Voting
 from vanerelay.net.clock import UNITS
@@ -28,6 +29,7 @@
 RENEWALS = 3  # in a term
 TURNS = 20  # in a term
 LEAVE_S = 1.0  # for deeds to end, once nothing new is to be begun
+ROUNDS = (Stage.ASKING, Stage.TAKING)
 SLOW, SLOWS = 2, 2  # a part of the term that renewals took, so often in a row: others do it better
 
 log = structlog.get_logger()
@@ -56,23 +58,30 @@
 class Leases:
     """All tasks of the fleet, as one manager sees them. Voters among them vote beside it."""
 
-    def __init__(self, reactor: Any, fleet: Fleet, parts: Parts, chance: random.Random, process: int) -> None:
-        """`process`: drawn for this process alone. Raises Unkept where a voter has nowhere to remember."""
+    def __init__(
+        self,
+        reactor: Any,
+        fleet: Fleet,
+        parts: Parts,
+        chance: random.Random,
+        process: int,
+        disk: Disk | None,
+        clock: Callable[[], int] = boottime,
+    ) -> None:
+        """`process`: drawn for this process alone; `disk`: where it votes, what it remembers by. Raises
+        Unkept where that can't be read."""
         self._reactor, self._fleet, self.parts, self._chance = reactor, fleet, parts, chance
-        self._process, self.name, self.clock = process, fleet.name, boottime
+        self._process, self.name, self.clock = process, fleet.name, clock
         self.history = History(self.name, parts.history)
         self.tasks = dict[str, Task]()
         self._era, self.sent, self._slow, self._slow_until = 0, 0, 0, 0
         self._floors = dict[str, int]()  # numbers that receivers have seen
+        self._firsts = dict[str, str]()  # who has the first claim on each task
         self._seen: tuple[Any, ...] = ()
         self._leaving = self._stopped = False
         self.voting: Voting | None = None
-        if self.name in parts.voters.all:
-            if not parts.folder:
-                raise Unkept("a voter needs a folder in its leases block")
-            self.voting = Voting(
-                reactor, self.name, parts.terms, parts.voters, parts.folder, self.clock, self._ask
-            )
+        if disk is not None:
+            self.voting = Voting(reactor, self.name, parts.terms, parts.voters, disk, clock, self._ask)
         fleet.links.handlers |= {"lease": self._asked, "leases": self._viewed}
 
     def add(self, name: str, began: Callable[[Hold], None], ended: Callable[[Hold], None]) -> Hold:
@@ -94,30 +103,40 @@
         self._place(now)
         prepares, accepts = list[Task](), list[tuple[Task, int]]()
         for task in self.tasks.values():
-            claim = task.claim
-            if claim.stage is Stage.HOLDING and not claim.holds(now):
-                task.claim = Claim(seen=claim.seen)
-                self._note(task, now)
-            elif claim.stage is Stage.HOLDING:
-                if not self._fit(now) or task.watch.outlived(now, term):
-                    self._give_back(task, now)
-                elif now - task.renewed >= term // RENEWALS and not claim.over:
+            claim, holds = task.claim, task.claim.holds(now)
+            late = now - claim.asked >= term // RENEWALS
+            if claim.stage is Stage.HOLDING and not holds or claim.stage in ROUNDS and late:
+                claim = task.claim = claim.ended(now)
+                if not holds:
+                    task.watch.asked(now, term, 0, self._chance.random())
+            self._note(task, now)
+            if claim.stage is Stage.HOLDING and self._leaves(task, now):
+                self._give_back(task, now)
+            elif claim.stage is Stage.HOLDING and not claim.over:
+                if now - task.renewed >= term // RENEWALS:
                     task.claim, serial = claim.renew(now)
                     task.renewed = now
                     accepts.append((task, serial))
-            elif claim.stage is not Stage.IDLE and now - claim.asked >= term // RENEWALS:
-                task.claim = Claim(seen=claim.seen)
-                task.watch.asked(now, term, 0, self._chance.random())
-            if task.claim.stage is Stage.IDLE and self._may_ask(now) and task.watch.wants(now, term):
-                task.claim = task.claim.ask(now, self.name, self._process)
-                task.asked_at = history_clock()
+            elif holds and claim.stage not in ROUNDS or not holds and self._wants(task, now):
+                # While it is held: above a later ballot that some voter met, so that it counts again.
+                task.claim = claim.ask(now, self.name, self._process)
+                task.asked_at = self.history.now()
                 prepares.append(task)
         self._prepare(prepares)
         self._accept(accepts)
 
-    def _may_ask(self, now: int) -> bool:
+    def _wants(self, task: Task, now: int) -> bool:
         alive = self._fleet.alive
-        return self._fit(now) and not alive.replaced and (alive.has_joined or len(alive.members) == 1)
+        joined = not alive.replaced and (alive.has_joined or len(alive.members) == 1)
+        idle = task.claim.stage is Stage.IDLE
+        return idle and joined and self._fit(now) and task.watch.wants(now, self.parts.terms.term)
+
+    def _leaves(self, task: Task, now: int) -> bool:
+        first = self._fleet.alive.members.get(self._firsts.get(task.name, ""))
+        sound = first is not None and first.standing is Standing.ALIVE
+        return (
+            task.hold.leaving or not self._fit(now) or task.watch.outlived(now, self.parts.terms.term, sound)
+        )
 
     def _fit(self, now: int) -> bool:
         return self._fleet.alive.own.state == "serving" and not self._leaving and now >= self._slow_until
@@ -131,6 +150,7 @@
             self._seen = found, len(self.tasks)
             for name, order in tasks.assign(self.tasks, found).items():
                 self.tasks[name].watch.placed(now, self.name, order)
+                self._firsts[name] = order[0] if order else ""
 
     # What is asked of voters.
 
@@ -162,10 +182,10 @@
         if not self._stopped:
             heard(voter, told)
 
-    def _unheard(self, failure: Any) -> None:
+    @staticmethod
+    def _unheard(failure: Any) -> None:
         """Nothing came, or the voter will not: a majority of the others may do."""
-        if failure.check(Exception) and not failure.check(Refused):
-            log.debug("a voter did not answer", why=failure.getErrorMessage())
+        failure.trap(Unknown, Refused, Unanswered)
 
     def _prepare(self, asking: list[Task]) -> None:
         for first in range(0, len(asking), words.AT_ONCE):
@@ -182,9 +202,10 @@
                     task.claim = task.claim.promised(now, voter, ballot, one, voters, terms, floor)
                     if was is Stage.ASKING and task.claim.stage is Stage.TAKING:
                         ready.append((task, 0))
-                    elif one.said.value == "held" and task.claim.ballot == ballot and was is Stage.ASKING:
-                        task.watch.asked(now, terms.term, one.left, self._chance.random())
-                        task.claim = Claim(seen=task.claim.seen)
+                    elif one.said is Said.HELD and task.claim.ballot == ballot and was is Stage.ASKING:
+                        if not task.claim.holds(now):
+                            task.watch.asked(now, terms.term, one.left, self._chance.random())
+                            task.claim = task.claim.ended(now)
                 self._accept(ready)
 
             self._send(words.Ask(self.parts.voters.version, list(ballots.items())), heard)
@@ -194,7 +215,7 @@
         for first in range(0, len(taking), words.AT_ONCE):
             part = taking[first : first + words.AT_ONCE]
             some = [(task, serial, task.claim.grant) for task, serial in part]
-            begun, at = history_clock(), self.clock()
+            begun, at = self.history.now(), self.clock()
 
             def heard(
                 voter: str, told: words.Answer, some: Any = some, begun: int = begun, at: int = at
@@ -207,7 +228,7 @@
                     )
                     if task.claim.until > until:
                         self._took(now - at, now)
-                        op = "renew" if serial else "acquire"
+                        op = "renew" if grant.number == task.hold.number else "acquire"
                         self._told(op, task, task.asked_at if not serial else begun, grant.number, "ok")
                         self._note(task, now)
 
@@ -235,12 +256,12 @@
             wait = max(0, hold.acts_from - now)
             log.info("lease held", task=task.name, number=hold.number, waits_ms=wait // MILLISECOND)
             task.acting = True
+            task.watch.took(now)
             task.began(hold)
         elif task.acting and not task.claim.holds(now):
             task.acting = False
             log.warning("lease lost", task=task.name, number=hold.number)
-            self._told("lost", task, history_clock(), hold.number, "ok")
-            task.watch.asked(now, self.parts.terms.term, 0, self._chance.random())
+            self._told("lost", task, self.history.now(), hold.number, "ok")
             task.ended(hold)
 
     def _give_back(self, task: Task, now: int) -> None:
@@ -252,11 +273,11 @@
             task.ended(hold)
         if not hold.free:
             return
-        begun, number = history_clock(), hold.number
+        begun, number = self.history.now(), hold.number
         task.claim = task.claim.given_back()
         grant = task.claim.grant
         hold.settle(now, task.claim, self.parts.terms)
-        task.watch.rest(now, self.parts.terms.term)
+        task.watch.gave(now, self.parts.terms.term)
         log.info("lease given back", task=task.name, number=number)
         self._told("release", task, begun, number, "ok")
         self._send(
@@ -267,10 +288,10 @@
         """A receiver has seen a higher number than ours: another acts, and what we hold is worth nothing."""
         task = self.tasks[deed.task]
         self._floors[deed.task] = max(self._floors.get(deed.task, 0), number)
-        if number > task.hold.number and task.claim.stage is Stage.HOLDING:
+        if number > task.hold.number and task.claim.holds(self.clock()):
             log.warning("a receiver knows a later number", task=deed.task, number=deed.number, later=number)
             task.claim = Claim(seen=task.claim.seen)
-            self._note(task, self.clock())
+            self._note(task, self.clock())  # a new round goes past that number
 
     def leave(self) -> Deferred[Any]:
         """Gives everything back; fires once voters have been told, or could not be."""
@@ -280,10 +301,11 @@
 
         def look() -> None:
             now = self.clock()
-            held = [task for task in self.tasks.values() if task.claim.stage is Stage.HOLDING]
+            held = [task for task in self.tasks.values() if task.claim.holds(now)]
             for task in held:
-                self._give_back(task, now)
-            left = [task for task in held if task.claim.stage is Stage.HOLDING]
+                if task.claim.stage is Stage.HOLDING:
+                    self._give_back(task, now)
+            left = [task for task in held if task.claim.holds(now)]
             if left and now - since < LEAVE_S * UNITS:
                 self._reactor.callLater(LEAVE_S / TURNS, look)
             elif held and self.parts.voters.all:
--- a/vanerelay/leases/tasks.py
+++ b/vanerelay/leases/tasks.py
@@ -17,7 +17,8 @@
 
 SLACK = 1.25  # times its even share that a manager takes at most
 RANKS = 3  # managers that have an eye on a task: the first takes it, the others look whether it is held
-STEADY = 3  # terms that a better place has to have been there before a task is given up for it
+STEADY = 3  # terms for which a better one must have been there, while we held, before it is given up for it
+PATIENT = 8  # times that, at most: one that did not take what it was given is believed less each time
 REST = 3  # terms for which one that gave a task back does not want it again
 SPREAD = 2.0**64
 
@@ -99,6 +100,8 @@
     since: int = 0  # when our place became what it is
     look_at: int = 0
     rests_until: int = 0
+    held: int = -1  # since when it is ours
+    doubts: int = 1
 
     def placed(self, now: int, own: str, order: Sequence[str]) -> None:
         place = order.index(own) if own in order else -1
@@ -118,9 +121,16 @@
         base = term // 20 if self.place == 0 else term * self.place // 2
         self.look_at = now + max(left + 1, int(base * (0.5 + draw)))
 
-    def outlived(self, now: int, term: Span) -> bool:
-        """Whether what we hold has had a better place for long enough to be given up for it."""
-        return self.place != 0 and now >= self.since + STEADY * term
+    def took(self, now: int) -> None:
+        self.held = now
 
-    def rest(self, now: int, term: Span) -> None:
-        self.rests_until = now + REST * term
+    def outlived(self, now: int, term: Span, sound: bool) -> bool:
+        """Whether what we hold is to be given up for one that has a better place. `sound`: whether nobody
+        suspects that one to be gone."""
+        since = max(self.since, self.held)
+        return self.place != 0 and sound and now >= since + STEADY * self.doubts * term
+
+    def gave(self, now: int, term: Span) -> None:
+        """It was given back: others have the time to take it."""
+        self.held, self.rests_until = -1, now + REST * term
+        self.doubts = min(PATIENT, 2 * self.doubts) if self.place else 1
--- a/vanerelay/leases/voting.py
+++ b/vanerelay/leases/voting.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -32,20 +31,19 @@
         name: str,
         terms: Terms,
         voters: Voters,
-        folder: str,
+        disk: Disk,
         clock: Callable[[], int],
         ask: Callable[[str, words.Ask], Deferred[words.Answer]],
     ) -> None:
-        """Raises Unkept where the folder can't be used."""
-        self._reactor, self._clock, self._ask, self._folder = reactor, clock, ask, Path(folder)
-        self._disk = Disk(reactor, folder)
+        """Raises Unkept where the disk can't be read."""
+        self._reactor, self._clock, self._ask, self._disk = reactor, clock, ask, disk
         self.voter = Voter(name, terms, voters, self._kept(), clock())
         self._stopped, self.why = False, ""
         if self.voter.memory is Memory.SILENT:
             log.warning("nothing is remembered of leases: silent first", for_s=terms.longest / 10_000)
             self._look()
         else:
-            (self._folder / FOUND).unlink(missing_ok=True)  # of a word that was used up before a crash
+            disk.used(FOUND)  # of a word that was used up before a crash
 
     def _kept(self) -> Kept | None:
         told = self._disk.load(SPACE)
@@ -158,21 +156,19 @@
         else:
             told = f"{len(knowing)} of {len(names)} other voters remember, expected more than half of all"
             if told != self.why:
-                log.warning("does not vote yet", why=told, file=str(self._folder / FOUND))
+                log.warning("does not vote yet", why=told, file=FOUND)
             self.why = told
         self._reactor.callLater(2 * LOOK_S, self._look)
 
     def _founded(self) -> int | None:
-        try:
-            return int((self._folder / FOUND).read_text(encoding="ascii"))
-        except (OSError, ValueError):
-            return None
+        told = self._disk.word(FOUND)
+        return int(told) if told.isdecimal() else None
 
     def _know(self) -> None:
         """Kept, then the word is used up: should the disk be lost later, it does not count again."""
 
         def used(_: Any) -> None:
-            (self._folder / FOUND).unlink(missing_ok=True)
+            self._disk.used(FOUND)
 
         self.why = ""
         self._keep(True).addCallback(used).addErrback(
