--- a/tests/test_leases_model.py
+++ b/tests/test_leases_model.py
@@ -238,6 +238,35 @@
     return (*values[:place], value, *values[place + 1 :])
 
 
+# What each is for, how many states it has (they are all of them), and what is broken in its second half.
+SOUND = {
+    "two askers": (Model(), 165_560),
+    "a voter loses its memory": (Model(horizon=1, amnesia=1), 178_486),
+    "a voter begins its clock anew": (Model(horizon=1, restarts=1), None),
+    "acceptances come twice": (Model(horizon=1, doubled=1), None),
+}
+BROKEN = {
+    "the bound on clocks' rates is left out": (Model(horizon=3, fast=True, broken="skew"), "two hold"),
+    "no silence after a lost memory": (Model(horizon=1, amnesia=1, broken="silence"), "two hold"),
+    "a number is not raised": (Model(broken="number"), "a number does not rise"),
+    "a renewal counts from its answer": (Model(renewals=1, late=True, broken="answer"), "two hold"),
+}
+
+
+@pytest.mark.parametrize("name", SOUND)
+def test_no_order_of_events_lets_two_hold(name):
+    model, states = SOUND[name]
+    found = Explored(model)
+    assert found.wrong is None and 1 in found.reached
+    assert states is None or found.states == states
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_what_is_broken_on_purpose_is_found(name):
+    model, wrong = BROKEN[name]
+    assert Explored(model).wrong == wrong
+
+
 if __name__ == "__main__":
     import sys
     import time
--- a/tests/test_plays.py
+++ b/tests/test_plays.py
@@ -15,11 +15,17 @@
 
 from bench import releases
 from tests.helpers import ROOT
+from tests.histories import deeds, register
+from vanerelay.history import read
+from vanerelay.interface import SECOND
 
 SIDE_BY_SIDE = 2
 PLAYS = [
     "faults",
     "fleet",
+    "lease-first",
+    "lease-lost",
+    "leases",
     "roll-cut",
     "roll-dies",
     "roll-down",
@@ -100,6 +106,31 @@
     assert "<svg" in folder.with_suffix(".html").read_text() and folder.with_suffix(".csv").exists()
 
 
+LEASED = [name for name in PLAYS if name.startswith("lease")]
+
+
+@pytest.mark.parametrize("name", LEASED)
+def test_nobody_acts_beside_a_holder_in_what_all_parties_wrote(plays, name):
+    folder = plays[name].result()[1]
+    rows = [row for path in (folder / "history").glob("*.jsonl") for row in read(path)]
+    assert deeds.wrong(rows) == [] and register.wrong(rows) == []
+    taken = [row for row in rows if row["op"] == "order" and row["result"] == "ok"]
+    assert len(taken) > 50 and len({row["holder"] for row in taken}) > 1
+
+
+def test_nobody_acts_between_the_loss_of_all_disks_and_an_operators_word(plays):
+    folder = plays["lease-lost"].result()[1]
+    rows = [row for path in (folder / "history").glob("*.jsonl") for row in read(path)]
+    orders = [row for row in rows if row["op"] == "order" and row["result"] == "ok"]
+    taken = sorted((row["begin"], row["number"]) for row in orders)
+    eras = {number >> 32 for _, number in taken}
+    last = max(at for at, number in taken if number >> 32 == 1)
+    first = min(at for at, number in taken if number >> 32 == 2)
+    assert eras == {1, 2} and first - last > 5 * SECOND
+    told = (folder / "who holds what: nobody.log").read_text()
+    assert "held by nobody" in told and "blank" in told
+
+
 @pytest.mark.parametrize(
     "name, says",
     [
--- a/vanerelay/lab/play.py
+++ b/vanerelay/lab/play.py
@@ -65,7 +65,7 @@
         leased = "leases {" in script.managers.options
         histories = str(self._histories) if leased else ""
         self.world = World(self.net, self.record, self.clock.now(), histories)
-        self._founded = 0  # times that the files of the beginning were written
+        self._foundings = [""]  # the beginning, and faults after which its files are written anew
         self.feed = FeedHost(self.world, script.feed_late)
         self.parties = Parties()
         self.managers = dict[str, Manager]()
@@ -239,7 +239,7 @@
             "MEMBERS": members,
             "TREE": str(tree),
             "HISTORY": str(self._histories / f"{party}.jsonl"),
-            "FOUNDED": str(self._founded),
+            "FOUNDED": str(len(self._foundings)),
         }
         for word, value in words.items():
             text = text.replace(f"@{word}@", value)
@@ -302,7 +302,6 @@
 
     def _found(self, names: Iterable[str]) -> None:
         """Files of the beginning, as operators write them."""
-        self._founded += 1
         for manager in (self.managers[name] for name in names):
             for file in self.script.managers.files:
                 path = manager.folder / file.name
@@ -536,6 +535,8 @@
             if fault.folder != "kept":
                 manager.clear()
             if fault.folder == "founded":
+                if fault.name not in self._foundings:
+                    self._foundings.append(fault.name)
                 self._found([manager.name])
             if fault.release:
                 self._on(manager, self._releases[fault.release])
--- a/vanerelay/leases/service.py
+++ b/vanerelay/leases/service.py
@@ -82,7 +82,11 @@
         self.voting: Voting | None = None
         if disk is not None:
             self.voting = Voting(reactor, self.name, parts.terms, parts.voters, disk, clock, self._ask)
-        fleet.links.handlers |= {"lease": self._asked, "leases": self._viewed}
+        fleet.links.handlers |= {
+            "lease": self._asked,
+            "lease-free": self._freed,
+            "leases": self._viewed,
+        }
 
     def add(self, name: str, began: Callable[[Hold], None], ended: Callable[[Hold], None]) -> Hold:
         """A task of the fleet; every manager adds the same ones."""
@@ -280,9 +284,16 @@
         task.watch.gave(now, self.parts.terms.term)
         log.info("lease given back", task=task.name, number=number)
         self._told("release", task, begun, number, "ok")
-        self._send(
-            words.Ask(self.parts.voters.version, accepts=[(task.name, grant)]), lambda voter, told: None
-        )
+        freed, first = set[str](), self._firsts.get(task.name, self.name)
+
+        def heard(voter: str, told: words.Answer) -> None:
+            """Whoever has the first claim is told at once, and need not wait for its turn to look."""
+            freed.add(voter)
+            if first not in ("", self.name) and self.parts.voters.enough(freed):
+                freed.clear()
+                self._fleet.ask(first, "lease-free", task.name.encode(), 1.0).addErrback(self._unheard)
+
+        self._send(words.Ask(self.parts.voters.version, accepts=[(task.name, grant)]), heard)
 
     def behind(self, deed: Deed, number: int) -> None:
         """A receiver has seen a higher number than ours: another acts, and what we hold is worth nothing."""
@@ -329,6 +340,12 @@
             raise Refused("unreadable" if ask is None else "this manager does not vote")
         return self.voting.answer(ask).addCallback(words.pack)
 
+    def _freed(self, body: bytes) -> bytes:
+        task = self.tasks.get(body.decode(errors="replace"))
+        if task is not None and not task.claim.holds(self.clock()):
+            task.watch.freed(self.clock())
+        return b""
+
     def _viewed(self, _: bytes) -> bytes:
         now, voters = self.clock(), self.parts.voters
         rows = [
--- a/vanerelay/leases/tasks.py
+++ b/vanerelay/leases/tasks.py
@@ -121,6 +121,10 @@
         base = term // 20 if self.place == 0 else term * self.place // 2
         self.look_at = now + max(left + 1, int(base * (0.5 + draw)))
 
+    def freed(self, now: int) -> None:
+        """Who held it says that it is free, and ours first."""
+        self.look_at = min(self.look_at, now)
+
     def took(self, now: int) -> None:
         self.held = now
 
--- a/vanerelay/leases/voting.py
+++ b/vanerelay/leases/voting.py
@@ -152,6 +152,7 @@
                 log.warning("founded by an operator's word", era=era)
                 self._know()
                 return
+            self.why = f"the operator's word is not taken: {why}"
             log.warning("the operator's word is not taken", why=why)
         else:
             told = f"{len(knowing)} of {len(names)} other voters remember, expected more than half of all"
