--- a/vanerelay/leases/quorum.py
+++ b/vanerelay/leases/quorum.py
@@ -262,6 +262,7 @@
     ballot: Ballot = Ballot()
     asked: int = 0
     by: frozenset[str] = frozenset()
+    no: frozenset[str] = frozenset()
     best: Grant = Grant()
     grant: Grant = Grant()
     rounds: tuple[Round, ...] = ()
@@ -292,8 +293,10 @@
         """A voter's answer. With the last that is wanted `grant` is to be accepted by all. `floor`: a number
         that a new one has to be past, of the era and of what receivers are known to have seen."""
         claim = replace(self, seen=max(self.seen, reply.promised.round))
-        if self.stage is not Stage.ASKING or ballot != self.ballot or reply.said is not Said.YES:
+        if self.stage is not Stage.ASKING or ballot != self.ballot:
             return claim
+        if reply.said is not Said.YES:
+            return replace(claim, no=self.no | {voter})
         if now >= self.asked + terms.held(terms.term):
             return claim.ended(now)
         best = max(self.best, reply.grant, key=lambda one: one.ballot)
@@ -315,6 +318,10 @@
             free=not best.holder or ours,
         )
 
+    def vain(self, voters: Voters) -> bool:
+        """Whether so many have refused that no majority is left to promise."""
+        return self.stage is Stage.ASKING and not voters.enough(set(voters.all) - self.no)
+
     def renew(self, now: int) -> tuple[Claim, int]:
         """Once more under the same ballot; with the serial of this asking."""
         serial = self.rounds[-1].serial + 1 if self.rounds else 1
--- a/vanerelay/leases/service.py
+++ b/vanerelay/leases/service.py
@@ -206,10 +206,11 @@
                     task.claim = task.claim.promised(now, voter, ballot, one, voters, terms, floor)
                     if was is Stage.ASKING and task.claim.stage is Stage.TAKING:
                         ready.append((task, 0))
-                    elif one.said is Said.HELD and task.claim.ballot == ballot and was is Stage.ASKING:
-                        if not task.claim.holds(now):
-                            task.watch.asked(now, terms.term, one.left, self._chance.random())
-                            task.claim = task.claim.ended(now)
+                    elif task.claim.vain(voters) and not task.claim.holds(now):
+                        # Another holds it, or asks at the same time: one of us has to come again later.
+                        left = one.left if one.said is Said.HELD else 0
+                        task.watch.asked(now, terms.term, left, self._chance.random())
+                        task.claim = task.claim.ended(now)
                 self._accept(ready)
 
             self._send(words.Ask(self.parts.voters.version, list(ballots.items())), heard)
@@ -309,6 +310,7 @@
         self._leaving = True
         done: Deferred[Any] = Deferred()
         since = self.clock()
+        self._place(since)  # without us: whoever comes first now is told of what we give back
 
         def look() -> None:
             now = self.clock()
--- a/vanerelay/leases/tasks.py
+++ b/vanerelay/leases/tasks.py
@@ -107,6 +107,8 @@
         place = order.index(own) if own in order else -1
         if place != self.place:
             self.place, self.since, self.look_at = place, now, now
+            if place == 0:
+                self.rests_until = now  # whom it was given up for is there no more
 
     def wants(self, now: int, term: Span) -> bool:
         """Whether to ask for it now: the first at once, the others when their turn to look has come, as the
@@ -118,7 +120,7 @@
     def asked(self, now: int, term: Span, left: int, draw: float) -> None:
         """It was asked for in vain: again when whoever holds it has let it run out. `left`: for how long it
         is held yet, 0 where a contest was lost or nothing came; `draw`: 0 to 1."""
-        base = term // 20 if self.place == 0 else term * self.place // 2
+        base = term // 10 if self.place == 0 else term * self.place // 2
         self.look_at = now + max(left + 1, int(base * (0.5 + draw)))
 
     def freed(self, now: int) -> None:
