--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -60,3 +60,13 @@
 # rollout {
 #   folder = "/var/lib/vanerelay/orders"
 # }
+
+# Tasks of the whole fleet, each with one holder at a time. Off; docs/operators/leases.md has all words, and the first start.
+# leases {
+#   voters = ["m1", "m2", "m3"]
+#   folder = "/var/lib/vanerelay/leases"
+#   chore "refresh" {
+#     every = "60s"
+#     words = ["order", "@ID@", "task=@TASK@,number=@NUMBER@,serial=@SERIAL@,holder=@HOLDER@", "refresh"]
+#   }
+# }
