A rolling change's controller drives under a lease; its number is the fence

Need: of two controllers the later took the fence from one that was well; now the second waits while the first holds. Seen in the play before that rule: the first, thawed, held again once the second was done, and began to undo its change.

--- a/vanerelay/rollout/commands.py
+++ b/vanerelay/rollout/commands.py
@@ -222,6 +222,9 @@
     lock = _locked(record.path)
     if lock is None:
         _fail(f"another controller runs on {record.path}")
+    from vanerelay.cli import log_to
+
+    log_to("warning")  # on standard error: what people are told goes to standard output alone
     from twisted.internet import reactor as found_reactor
 
     reactor: Any = found_reactor
--- a/vanerelay/rollout/controller.py
+++ b/vanerelay/rollout/controller.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import structlog
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import Deferred, DeferredList, succeed
 
 from vanerelay.fleet.links import Links
 from vanerelay.interface import SECOND
@@ -17,6 +17,7 @@
 from vanerelay.rollout.judge import Judge, Seen
 from vanerelay.rollout.plan import Loaded, Reached
 from vanerelay.rollout.record import Record, Unkept
+from vanerelay.rollout.sole import Sole
 from vanerelay.rollout.stages import MAJORITY, Course, Do, Event, Heard, Step
 
 ASK_S = 6.0  # an answer may take that long: links may be slow
@@ -64,6 +65,11 @@
         self.done: Deferred[Ending] = Deferred()
         self._began = self._watched = 0
         self._said, self._claimed, self._stopped, self._busy = "", False, False, False
+        self._acted = False  # whether orders were given under a fence by this process
+        self._sole: Sole | None = None
+        if loaded.leases is not None:
+            addresses = {name: one.address for name, one in loaded.managers.items()}
+            self._sole = Sole(reactor, self._links, loaded.plan.name, loaded.leases, addresses, self._lost)
 
     def start(self, resumed: bool) -> Deferred[Ending]:
         """From the record, if it holds a change that has not ended."""
@@ -74,9 +80,18 @@
                 self.judge.restore(told)
             self.judge.began(self._clock.now())
         self._began = self._clock.now()
+        if self._sole is not None:
+            self._sole.start()
         self._turn()
         return self.done
 
+    def _lost(self) -> None:
+        """Another may drive a change from now on; ours waits until the lease is ours again."""
+        if self._stopped:
+            return
+        self._claimed = False
+        self._tell("the lease is lost: nothing is ordered until it is held again")
+
     # Taking it on: one controller at a time.
 
     def _claim(self) -> None:
@@ -85,13 +100,26 @@
         if len(heard) * MAJORITY <= len(self._known) or self._busy:
             self._tell(f"{len(heard)} of {len(self._known)} managers heard: waiting for more than half")
             return
-        fence = max([self._record.fence, *(state.fence for state in heard)]) + 1
+        highest = max([self._record.fence, *(state.fence for state in heard)])
+        fence = highest + 1
+        if self._sole is not None:
+            held = self._sole.fence()
+            past = self._record.fence
+            if self._acted and (highest > past or held is not None and held > past + 1):
+                # What it has done since is not ours to undo: an operator may resume.
+                self._end("fenced", f"another controller has held the lease after fence {past}")
+                return
+            if held is None or held < highest:
+                self._tell("waiting for the lease: another controller may hold it")
+                return
+            fence = held  # its number is past those of all that held it before
         self._record.claim(fence)
         self._busy = True
 
         def ended(taken: int) -> None:
             self._busy = False
             self._claimed = taken * MAJORITY > len(self._known)
+            self._acted = self._acted or self._claimed
             if self._claimed:
                 self._tell(f"fence {fence} taken by {taken} of {len(self._known)} managers")
 
@@ -265,6 +293,9 @@
         name = step.manager
         if name in self._ordering:
             return
+        if self._sole is not None and self._sole.fence() != self._record.fence:
+            self._tell(f"the lease is not held: {name} is not ordered now")
+            return
         control = step.do is Do.CONTROL
         what, number = "control" if control else "ordered", self.course.count + 1
         self._note(Event(what, now, name, self._record.fence, number, step.to, self.course.stage, step.why))
@@ -327,12 +358,14 @@
 
     def _end(self, how: str, why: str = "") -> None:
         if not self._stopped:
-            self.stop()
-            self.done.callback(Ending(how, why, sorted(self.course.ever)))
+            ending = Ending(how, why, sorted(self.course.ever))
+            self.stop().addCallback(lambda _: self.done.callback(ending))
 
-    def stop(self) -> None:
+    def stop(self) -> Deferred[Any]:
+        """Fires once what it held for itself is given back."""
         self._stopped = True
-        self._links.stop()
+        given = self._sole.stop() if self._sole is not None else succeed(None)
+        return given.addCallback(lambda _: self._links.stop())
 
 
 def line(event: Event, loaded: Loaded | None = None) -> str:
--- a/vanerelay/rollout/plan.py
+++ b/vanerelay/rollout/plan.py
@@ -10,6 +10,8 @@
 from vanerelay import checks
 from vanerelay.fleet import release
 from vanerelay.interface import SECOND, Span
+from vanerelay.leases.parts import Parts as LeaseParts
+from vanerelay.leases.parts import parts as lease_parts
 from vanerelay.options import BadOptions, Block, read
 from vanerelay.rollout import shared
 from vanerelay.rollout.judge import Guard, Terms
@@ -56,6 +58,7 @@
     record: str
     text: str
     shared: tuple[str, ...] = ()
+    leases: LeaseParts | None = None  # under which of all controllers one acts; None: by majority of managers
 
     def runs(self, settings: str, program: str) -> frozenset[str]:
         """Which of the four a manager runs that tells these settings (a digest) and this program (as its
@@ -79,6 +82,7 @@
     away = _one(document, "away", Away)
     bodies, digests = _runs(change, old, new)
     name = document.take("name", str, Path(path).stem)
+    leases = document.only("leases")
     settings = new or old
     loaded = Loaded(
         plan=Plan(
@@ -103,6 +107,7 @@
         baseline=document.take("baseline", Span, 20 * SECOND),
         record=document.take("record", str, str(Path(path).with_suffix(".record"))),
         text=Path(path).read_text(encoding="utf-8"),
+        leases=lease_parts(leases) if leases is not None else None,
         shared=tuple(f"{one.path}: {one.why}" for one in shared.differ(old, new)) if old and new else (),
     )
     document.done()
