--- a/tests/test_plays.py
+++ b/tests/test_plays.py
@@ -30,6 +30,7 @@
     "roll-dies",
     "roll-down",
     "roll-good",
+    "roll-lease",
     "roll-program",
     "roll-refuses",
     "roll-shared",
@@ -148,6 +149,12 @@
     assert all(one in told for one in says), told
 
 
+def test_a_controller_that_was_followed_ends_and_undoes_nothing(plays):
+    folder = plays["roll-lease"].result()[1]
+    assert "waiting for the lease" in said(folder, "second") and "ended: done" in said(folder, "second")
+    assert "fenced: another controller has held the lease" in said(folder, "first")
+
+
 @pytest.mark.parametrize("name", BAD)
 def test_a_bad_release_ends_with_the_old_one_everywhere(plays, name):
     done, folder = plays[name].result()
--- a/vanerelay/leases/voting.py
+++ b/vanerelay/leases/voting.py
@@ -39,6 +39,7 @@
         self._reactor, self._clock, self._ask, self._disk = reactor, clock, ask, disk
         self.voter = Voter(name, terms, voters, self._kept(), clock())
         self._stopped, self.why = False, ""
+        self._meta = False  # era and version are to be kept with the next answer
         if self.voter.memory is Memory.SILENT:
             log.warning("nothing is remembered of leases: silent first", for_s=terms.longest / 10_000)
             self._look()
@@ -63,7 +64,7 @@
         voter, now = self.voter, self._clock()
         if len(ask.prepares) + len(ask.accepts) > words.AT_ONCE:
             raise Refused("too many tasks at once")
-        before, slots, more = voter.era, list[words.Told](), False
+        slots, more = list[words.Told](), False
         news = ask.memory and voter.memory is Memory.KNOWS and voter.fence(ask.version)
         prepares = [
             words.replied(voter.prepare(now, ask.version, task, ballot)) for task, ballot in ask.prepares
@@ -77,20 +78,25 @@
                 for task in named[: words.AT_ONCE]
             ]
         told = words.Answer(voter.memory.value, voter.era, voter.version, prepares, accepts, slots, more)
-        return self._keep(news or before != voter.era).addCallback(lambda _: told)
+        return self._keep(news).addCallback(lambda _: told)
 
     def _keep(self, meta: bool) -> Deferred[Any]:
         """What changed, and whatever was to be kept before it."""
         voter, records = self.voter, dict[str, bytes | None]()
-        for task in voter.fresh:
+        fresh, self._meta = set(voter.fresh), self._meta or meta
+        meta = self._meta
+        for task in fresh:
             slot = voter.slots[task]
             records[task] = words.pack(words.Told(task, slot.promised, slot.grant))
         voter.fresh.clear()
+        self._meta = False
         if meta:
             records[META] = msgspec.msgpack.encode((voter.era, voter.version))
 
         def unkept(fault: Any) -> Any:
             fault.trap(Unkept)
+            voter.fresh |= fresh  # to be kept before anything else is said
+            self._meta = self._meta or meta
             if str(fault.value) != self.why:
                 self.why = str(fault.value)
                 log.error("votes can't be kept, and are not given", why=self.why)
