--- a/bench/leases.py
+++ b/bench/leases.py
@@ -3,26 +3,23 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import random
 import statistics
-import subprocess
 import sys
-import tempfile
 import time
-from concurrent.futures import ProcessPoolExecutor
-from pathlib import Path
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 
 import structlog
 
+from bench import plays
 from tests.histories import deeds, register
-from vanerelay.history import read
 from vanerelay.interface import SECOND
 from vanerelay.lab.virtual import Setting, Trouble, World, drawn, play, shortest
 from vanerelay.leases.quorum import Terms
 
-SITE = Path(__file__).parent.parent / "vanerelay" / "lab" / "scripts" / "lease-site.hcl"
+SITE = plays.SCRIPTS / "lease-site.hcl"
+SIDE_BY_SIDE = 3  # plays of twelve processes
 
 
 def started(setting: Setting, seed: int = 1) -> World:
@@ -101,68 +98,26 @@
 
 def script(seed: int, managers: int) -> str:
     """Twelve managers, and three faults at moments drawn from the seed."""
-    chance, blocks, lost = random.Random(f"{seed}/moments"), list[str](), 0
-    for number in range(3):
-        who, at, lasting = (
-            chance.randrange(managers) + 1,
-            chance.uniform(3.0, 11.0),
-            chance.choice((1, 2, 3, 4)),
-        )
-        what = chance.choice(("kill", "lost", "freeze", "end", "cut", "deaf", "slow"))
-        lost += what == "lost"
-        if what == "lost" and lost > 1:
-            what = "kill"
-        words = {
-            "cut": f'links = ["m{who} > m*", "m{who} > e*"]\n  do = "hold"',
-            "deaf": f'links = ["m* > m{who}"]\n  do = "hold"',
-            "slow": f'links = ["m* > m{who}"]\n  do = "slow"\n  delay = "3s"',
-            "lost": f'managers = "m{who}"\n  do = "kill"\n  folder = "gone"',
-        }.get(what, f'managers = "m{who}"\n  do = "{what}"')
-        blocks.append(
-            f'fault "{number}: {what} m{who}" {{\n  at = "{at:.1f}s"\n'
-            f'  lasting = "{lasting}s"\n  {words}\n}}\n'
-        )
     text = SITE.read_text().replace("count     = 6", f"count     = {managers}", 1)
     text = text.replace('length = "10s"', 'length = "18s"').replace("served = 0.9", "served = 0.3")
-    return text.replace("rate   = 30", "rate   = 20") + "\n" + "\n".join(blocks)
+    return text.replace("rate   = 30", "rate   = 20") + "\n" + plays.faults(seed, managers)
 
 
 def processes(count: int, managers: int = 12, first: int = 0) -> None:
     """Each moment of fault a play of real processes, judged by what was written."""
     bad = taken = refused = late = 0
     began = time.monotonic()
-    for seed in range(first, first + count):
-        with tempfile.TemporaryDirectory() as spare:
-            folder = Path(spare)
-            (folder / "moment.hcl").write_text(script(seed, managers))
-            done = subprocess.run(
-                [
-                    sys.executable,
-                    "-m",
-                    "vanerelay",
-                    "lab",
-                    "fleet",
-                    str(folder / "moment.hcl"),
-                    "--json",
-                    "--quiet",
-                    "--seed",
-                    str(seed),
-                    "--folder",
-                    str(folder / "play"),
-                ],
-                capture_output=True,
-                text=True,
-                check=False,
-            )
-            rows = [row for path in (folder / "play" / "history").glob("*.jsonl") for row in read(path)]
-            found = [*deeds.wrong(rows), *register.wrong(rows)]
-            findings = json.loads(done.stdout)["findings"] if done.stdout else [done.stderr[-300:]]
-            orders = [row["result"] for row in rows if row["op"] == "order"]
+    with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
+        seeds = range(first, first + count)
+        played = pool.map(lambda seed: plays.play(script(seed, managers), seed), seeds)
+        for seed, done in zip(seeds, played, strict=True):
+            found = [*deeds.wrong(done.rows), *register.wrong(done.rows)]
+            orders = [row["result"] for row in done.rows if row["op"] == "order"]
             taken, refused = taken + orders.count("ok"), refused + orders.count("refused")
-            late += len(deeds.beyond(rows))
-            if found or findings or not orders:
+            late += len(deeds.beyond(done.rows))
+            if found or done.findings or not orders:
                 bad += 1
-                print(f"seed {seed}: {found[:3]} {findings[:3]} {len(orders)} orders", flush=True)
+                print(f"seed {seed}: {found[:3]} {done.findings[:3]} {len(orders)} orders", flush=True)
     print(
         f"{count} moments, {managers} processes, {time.monotonic() - began:.0f} s: {bad} wrong, "
         f"{taken} deeds taken, {refused} refused, {late} begun after a later number's first"
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -361,7 +361,8 @@
         ran = [send.engine.entry for send in self.sends if send.ran]
         scope = self.group.scope if ran and self.group.effect is Effect.REFERENCED else Scope.ALL
         locations = (ran[0].location,) if scope is Scope.LOCATION else self.group.locations
-        return Bounds(locations, self.group.kinds, ran[0].cell if scope is Scope.CELL else None)
+        cell = ran[0].cell if scope is Scope.CELL else None
+        return Bounds(locations, self.group.kinds, cell, self.arrival.among)
 
     def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
               report: LoadReport | None) -> None:
--- /dev/null
+++ b/vanerelay/freshness/guides.py
@@ -0,0 +1,329 @@
+"""How reads with a hint, and loads, are led: who may serve this batch now. Thin: `eligible` and `pins`
+decide."""
+
+from __future__ import annotations
+
+import random
+import re
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import structlog
+from twisted.internet.defer import Deferred, DeferredList
+
+from vanerelay.freshness import eligible, hints
+from vanerelay.freshness.eligible import Choice
+from vanerelay.freshness.hints import BadHint, Hint
+from vanerelay.freshness.pins import Known, Pin
+from vanerelay.freshness.positions import Point
+from vanerelay.freshness.service import Freshness
+from vanerelay.holding import conditions
+from vanerelay.interface import MILLISECOND, Condition, EngineState, Outcome
+from vanerelay.net.buffers import BLOCK
+from vanerelay.net.clock import UNITS
+from vanerelay.net.statements import named
+from vanerelay.seam import Guide, Host, Lead, Want
+
+LOOK = 100 * MILLISECOND  # between looks at how engines stand
+TRIES = 3  # at a session that others move at the same time
+WRITES = re.compile(r"\b(?:into|update|table|overwrite|truncate)\b", re.IGNORECASE)
+AWAY = (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.TIMED_OUT)  # of a session's copy: another is found
+
+log = structlog.get_logger()
+
+
+class Leading:
+    """All batches that are led at one manager."""
+
+    def __init__(self, host: Host, freshness: Freshness, chance: random.Random) -> None:
+        self.host, self.freshness, self._chance = host, freshness, chance
+        self.waiting, self.led = set[_Led](), set[_Led]()
+        self._there, self._names = dict[str, Condition](), dict[int, str]()
+        self._looked = -LOOK
+        freshness.moved = self.moved
+
+    def guide(self, want: Want) -> Guide | str | None:
+        """Raises nothing: a hint that can't be read is told in one line."""
+        statement = want.statement
+        try:
+            hint = hints.read(statement)
+        except BadHint as fault:
+            return f"hint: {fault}"
+        if hint is None:
+            writes = self.freshness.parts.to or self.freshness.parts.lead_loads
+            if not writes or WRITES.search(statement, 0, BLOCK) is None:
+                return None
+            written, _ = named(statement[:BLOCK])
+            return Loading(self, want, written) if written else None
+        if len(statement) > BLOCK:
+            return f"hint: a statement of {len(statement)} characters, expected {BLOCK} at most with a hint"
+        written, read = named(statement)
+        if written:
+            return "hint: in a load, expected in a read"
+        groups = tuple(dict.fromkeys(read))
+        return Reading(self, want, hint, groups) if groups else "hint: the statement names no table group"
+
+    def moved(self) -> None:
+        """News have come: for those that nobody could serve so far."""
+        for one in list(self.waiting):
+            one.look()
+
+    def turn(self) -> None:
+        """For those that stand in the line: others may serve them as well by now."""
+        for one in list(self.led):
+            if not one.out:
+                one.look()
+
+    # How engines stand.
+
+    def there(self) -> Mapping[str, Condition]:
+        """Engines that may be sent something, by name."""
+        now = self.freshness.clock()
+        if now - self._looked >= LOOK:
+            found = [one for one in conditions(self.host.gateway) if one.entry.state is EngineState.UP]
+            self._there = {one.entry.name: one for one in found}
+            self._names |= {one.entry.engine: one.entry.name for one in found}
+            if len(self._names) > 2 * len(found) + len(self.led):
+                self._names = {one.entry.engine: one.entry.name for one in found}
+            self._looked = now
+        return self._there
+
+    def again(self) -> None:
+        """The list has changed."""
+        self._looked = -LOOK
+
+    def name(self, engine: int) -> str:
+        self.there()
+        return self._names.get(engine, "")
+
+    def draw(self, engines: Sequence[str]) -> str:
+        """A session's copy: by room, as sessions stay for a while."""
+        there = self.there()
+        weights = [max(1e-3, there[name].level * there[name].share) * there[name].cores for name in engines]
+        return self._chance.choices(engines, weights)[0]
+
+    def sound(self, engine: str) -> bool:
+        return self.there()[engine].sound
+
+    @property
+    def soon(self) -> int:
+        """When news will have come."""
+        watch = self.freshness.parts.watch
+        return watch.every + watch.hear
+
+
+class _Led(Guide):
+    """One batch; `out`: a dispatch of it has gone out."""
+
+    def __init__(self, leading: Leading, want: Want) -> None:
+        self._leading, self._want = leading, want
+        self.came, self.out = leading.freshness.clock(), False
+        self._timer: Any = None
+
+    def begin(self, lead: Lead) -> None:
+        self._lead = lead
+        self._leading.waiting.add(self)
+        wait = max(1, min(self._want.goal, self._want.left)) / UNITS
+        self._timer = self._leading.host.reactor.callLater(wait, self._late)
+
+    def look(self) -> None:
+        """Whether somebody may serve it now."""
+
+    def _late(self) -> None:
+        """The goal is over, and nobody could serve it."""
+        if self in self._leading.waiting:
+            self._refuse()
+
+    def _refuse(self) -> None:
+        self._lead.refuse(self._leading.soon)
+
+    def _go(self, engines: frozenset[str] | None) -> None:
+        there = self._leading.there()
+        self._leading.waiting.discard(self)
+        self._leading.led.add(self)
+        self._lead.among(
+            None
+            if engines is None
+            else frozenset(there[name].entry.engine for name in engines if name in there)
+        )
+
+    def sent(self, engine: int) -> None:
+        self.out = True
+
+    def over(self) -> None:
+        self._leading.waiting.discard(self)
+        self._leading.led.discard(self)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+
+class Loading(_Led):
+    """A load: it goes to the source of what it writes, and where it ended is remembered."""
+
+    def __init__(self, leading: Leading, want: Want, groups: Sequence[int]) -> None:
+        super().__init__(leading, want)
+        self._group = groups[0]
+
+    def begin(self, lead: Lead) -> None:
+        super().begin(lead)
+        self.look()
+
+    def look(self) -> None:
+        freshness = self._leading.freshness
+        if not freshness.parts.lead_loads or freshness.whole and not freshness.positions.holders(self._group):
+            self._go(None)  # nobody tells of copies of this group
+            return
+        source = freshness.positions.source(self._group)
+        if source is not None and source in self._leading.there():
+            self._go(frozenset({source}))
+
+    def accepts(self, engine: int, told: Mapping[str, str]) -> bool:
+        freshness = self._leading.freshness
+        point = Point.read(told.get(freshness.parts.to, "")) if freshness.parts.to else None
+        if point is not None:
+            freshness.ended(self._want.ref, self._group, point)
+        return True
+
+
+class Reading(_Led):
+    """A read with a hint. What it has to hold is fixed when it comes; where it may go is looked at anew."""
+
+    def __init__(self, leading: Leading, want: Want, hint: Hint, groups: tuple[int, ...]) -> None:
+        super().__init__(leading, want)
+        self._hint, self._groups = hint, groups
+        self._needs = eligible.needs(hint, groups, self.came)
+        self._session = f"{hint.pin}/{groups[0]}"
+        self._pin: Pin | None = None
+        self._lost, self._word, self._tries, self._putting = False, "", 0, False
+        self._away = set[str]()  # engines that this batch goes to no more
+        self._met = True
+        self._held = dict[str, Point | None]()  # what engines were known to hold as it was sent there
+        self._engine, self._point = "", None  # type: str, Point | None
+        self._known = False
+
+    def begin(self, lead: Lead) -> None:
+        super().begin(lead)
+        hint, freshness = self._hint, self._leading.freshness
+        asked = list[Deferred[Any]]()
+        if hint.after:
+            asked.append(freshness.load(hint.after).addCallback(self._loaded))
+        if hint.pin:
+            asked.append(freshness.session(self._session, hint.lasts).addCallback(self._found))
+        if all(one.called for one in asked):
+            self._begin(None)
+        else:
+            DeferredList(asked).addCallback(self._begin)
+
+    def _loaded(self, ended: tuple[int, Point] | None) -> None:
+        """Where the load that it follows has ended; None: nobody says, and the source alone surely has it."""
+        if ended is None:
+            self._needs = eligible.needs(self._hint, self._groups, self.came, unknown=True)
+        elif ended[0] in self._groups:
+            self._needs = eligible.follows(self._needs, *ended)
+
+    def _found(self, known: Known) -> None:
+        self._pin, self._lost = known.pin, known.lost
+
+    def _begin(self, _: Any) -> None:
+        self._known = True
+        self.look()
+
+    def look(self) -> None:
+        if not self._known or self._putting:
+            return
+        there = self._leading.there().keys() - self._away
+        if self._hint.pin:
+            self._look_at_session(there)
+            return
+        choice = eligible.choose(self._leading.freshness.positions, self._needs, self._hint.otherwise, there)
+        self._met = choice.met
+        self._take(choice, choice.engines)
+
+    def _take(self, choice: Choice, engines: frozenset[str]) -> None:
+        if choice.refused:
+            self._refuse()
+        elif engines:
+            self._go(engines)
+
+    def _look_at_session(self, there: set[str]) -> None:
+        """Its copy as long as that can serve it; else another, once keepers know."""
+        positions, pin = self._leading.freshness.positions, self._pin
+        if pin is not None and not self._lost and pin.engine in there and self._leading.sound(pin.engine):
+            if eligible.serves(positions, pin.engine, eligible.floored(self._needs, pin.seen)):
+                self._word, self._met = self._word or "kept", True
+                self._go(frozenset({pin.engine}))
+                return
+        moves = pin is not None or self._lost
+        asked = eligible.strict(self._needs, self.came) if moves else self._needs
+        choice = eligible.choose(positions, asked, self._hint.otherwise, there)
+        if not choice.engines or choice.refused:
+            self._take(choice, choice.engines)
+            return
+        sound = sorted(name for name in choice.engines if self._leading.sound(name))
+        engine = self._leading.draw(sound or sorted(choice.engines))
+        new = Pin(engine, pin.version + 1 if pin is not None else 1, pin.seen if pin is not None else None)
+        word = "lost" if self._lost or not choice.met else "moved" if pin is not None else "new"
+        self._putting = True
+        put = self._leading.freshness.put_session(self._session, self._hint.lasts, new)
+        put.addCallback(self._put, new, word, choice.met)
+
+    def _put(self, told: tuple[bool, Pin | None], new: Pin, word: str, met: bool) -> None:
+        settled, other = told
+        self._putting, self._tries = False, self._tries + 1
+        if self not in self._leading.waiting and self not in self._leading.led:
+            return
+        if not settled and other is not None and self._tries < TRIES:
+            self._pin, self._lost = other, False
+            self.look()
+            return
+        self._pin, self._lost, self._met = new, False, met
+        self._word = word if settled else "lost"
+        self._go(frozenset({new.engine}))
+
+    def sent(self, engine: int) -> None:
+        super().sent(engine)
+        name = self._leading.name(engine)
+        self._held[name] = self._leading.freshness.positions.point(name, self._groups[0])
+
+    def accepts(self, engine: int, told: Mapping[str, str]) -> bool:
+        """Whether the engine had what we took it to have, as it says itself: it may have gone back since."""
+        freshness, name = self._leading.freshness, self._leading.name(engine)
+        word = freshness.parts.at
+        point = Point.read(told.get(word, "")) if word else None
+        self._engine, self._point = name, point
+        if word and self._met and not eligible.held(
+            point, self._held.get(name), self._needs, self._pin.seen if self._pin is not None else None
+        ):
+            log.warning("a copy holds less than it had", engine=name, group=self._groups[0], at=str(point))
+            freshness.positions.doubt(name, self._groups[0], freshness.clock())
+            self._gone(name)
+            return False
+        if self._pin is not None and point is not None:
+            seen = max(point, self._pin.seen) if self._pin.seen is not None else point
+            freshness.put_session(
+                self._session, self._hint.lasts, Pin(self._pin.engine, self._pin.version, seen)
+            )
+        return True
+
+    def missed(self, engine: int, outcome: Outcome) -> None:
+        if self._hint.pin and outcome in AWAY:
+            self._gone(self._leading.name(engine))
+
+    def _gone(self, name: str) -> None:
+        """It goes elsewhere, where further dispatches are allowed."""
+        self._away.add(name)
+        self.look()
+
+    def fields(self) -> dict[str, str]:
+        found = dict[str, str]()
+        if self._point is not None:
+            found["at"] = str(self._point)
+        if not self._met:
+            freshness = self._leading.freshness
+            until = eligible.bound(freshness.positions, self._engine, self._groups)
+            age = None if until is None else max(0, freshness.clock() - until) // MILLISECOND
+            found["age"] = "unknown" if age is None else str(age)
+        if self._word:
+            found["pin"] = self._word
+        return found
+
--- /dev/null
+++ b/vanerelay/freshness/service.py
@@ -0,0 +1,309 @@
+"""What one manager knows of copies and sessions: asks, hears, remembers for others. Thin: `news`, `positions`
+and `pins` decide."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
+
+import msgspec
+import structlog
+from twisted.internet.defer import Deferred, succeed
+
+from vanerelay.fleet.alive import Standing
+from vanerelay.fleet.links import Refused
+from vanerelay.fleet.service import Fleet
+from vanerelay.freshness import pins, spread, words
+from vanerelay.freshness.news import Shard
+from vanerelay.freshness.parts import Parts
+from vanerelay.freshness.pins import Keeper, Known, Loads, Pin
+from vanerelay.freshness.positions import Point, Positions, Told
+from vanerelay.interface import Span
+from vanerelay.leases.doing import Chat
+from vanerelay.leases.hold import Hold
+from vanerelay.leases.service import Leases
+from vanerelay.leases.tasks import Candidate, ranked
+from vanerelay.net.clock import UNITS
+from vanerelay.net.ends import Cause, End
+
+ROWS_OF_ONE = 50_000  # table groups of one engine
+OLD = 20  # times the pace of the watch, past which it is said that news are old
+HEAR_PATIENCE = 3  # times the pace, for an answer with news
+
+T = TypeVar("T")
+log = structlog.get_logger()
+
+
+class Watching(Chat):
+    """One shard, where it is ours: what engines answer goes into its news."""
+
+    def __init__(self, freshness: Freshness, shard: Shard) -> None:
+        self._freshness, self._shard = freshness, shard
+        self._begun = dict[str, tuple[int, dict[int, Told]]]()  # answers that are not whole yet
+        self._unread = set[str]()
+
+    def began(self, hold: Hold) -> None:
+        self._begun.clear()
+        self._shard.begin(hold.number, self._freshness.name)
+        self._freshness.changed()
+
+    def heard(self, engine: str, at: int, end: End) -> str | None:
+        told = words.rows(end.rows, ROWS_OF_ONE) if end.cause is Cause.OK else None
+        begun = self._begun.pop(engine, None)
+        if told is None:
+            if end.cause is Cause.OK and engine not in self._unread:
+                self._unread.add(engine)
+                log.warning("an engine's word on its copies can't be read", engine=engine)
+            return None
+        self._unread.discard(engine)
+        if begun is not None and begun[0] == at:
+            told = begun[1] | told
+        follow = end.told.get("next", "")
+        if follow.isdecimal() and 0 < len(follow) <= 15 and len(told) < ROWS_OF_ONE:
+            self._begun[engine] = at, told
+            return follow
+        self._shard.saw(engine, at, told)
+        self._freshness.changed()
+        return None
+
+
+class Freshness:
+    """`moved` is called once news have come."""
+
+    def __init__(self, reactor: Any, fleet: Fleet, leases: Leases, parts: Parts) -> None:
+        self._reactor, self._fleet, self.parts = reactor, fleet, parts
+        self.name, self.clock, self._drift = fleet.name, leases.clock, leases.parts.terms.drift
+        self.positions = Positions()
+        self.shards = [Shard(self.positions) for _ in range(parts.watch.shards)]
+        self.holds = list[Hold]()  # of the shards, in their order
+        self._failed = [0] * parts.watch.shards
+        self._turns = parts.watch.every // parts.watch.hear + 2  # of ours in which news should have come
+        self._old = set[int]()  # shards whose news are old, as was logged
+        self._orders, self._alive = list[list[str]](), list[str]()
+        told, self._since = parts.sessions, self.clock()
+        self.keeper = Keeper(self.clock(), told.most, told.longest)
+        self.loads, self._own_loads = Loads(told.most), Loads(told.most)
+        self._managers = sorted({fleet.name, *(known.name for known in fleet.parts.known)})
+        self.moved: Callable[[], None] = lambda: None
+        self._timer: Any = None
+        self.asked = self.told = 0
+        fleet.links.handlers |= {
+            "fresh-news": self._pulled,
+            "fresh-pin": self._pin_asked,
+            "fresh-pin-put": self._pin_put,
+            "fresh-load": self._load_asked,
+            "fresh-load-put": self._load_put,
+        }
+
+    def start(self) -> None:
+        self._turn()
+
+    def stop(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    @property
+    def whole(self) -> bool:
+        """Whether news of every shard have come."""
+        return all(shard.number for shard in self.shards)
+
+    def changed(self) -> None:
+        self.moved()
+
+    def lost(self, engines: Iterable[str]) -> None:
+        """They are no longer listed: of those that we watch all others hear by our news."""
+        now = self.clock()
+        for shard, hold in zip(self.shards, self.holds, strict=True):
+            for engine in engines:
+                if hold.may(now) and engine in shard.asked:
+                    shard.lost(engine, now)
+
+    # News.
+
+    def _turn(self) -> None:
+        self._timer = self._reactor.callLater(self.parts.watch.hear / UNITS, self._turn)
+        alive = sorted(
+            one.name
+            for one in self._fleet.alive.members.values()
+            if one.standing is Standing.ALIVE or one.name == self.name
+        )
+        if alive != self._alive:
+            self._alive = alive
+            there = [Candidate(name) for name in alive]
+            self._orders = [ranked(hold.task, there) for hold in self.holds]
+        now = self.clock()
+        for number, hold in enumerate(self.holds):
+            if not hold.may(now):
+                self._pull(number)
+            self._look(number, now)
+
+    def _look(self, number: int, now: int) -> None:
+        """Says it once where nobody watches a shard, or its news do not come."""
+        old = now - max(self.shards[number].asked.values(), default=self._since)
+        if (old > OLD * self.parts.watch.every) != (number in self._old):
+            self._old ^= {number}
+            (log.warning if number in self._old else log.info)(
+                "news of copies are old" if number in self._old else "news of copies come again",
+                shard=number,
+                age_s=round(old / UNITS, 1),
+            )
+
+    def _pull(self, number: int) -> None:
+        shard = self.shards[number]
+        tried = self._failed[number] // self._turns
+        whom = spread.source(self.name, self._orders[number], shard.holder, tried)
+        if whom is None:
+            return
+        at = self.clock()
+        body = words.pack(words.Pull(number, *shard.wants(at)))
+        patience_s = HEAR_PATIENCE * self.parts.watch.hear / UNITS
+        self.asked += 1
+
+        def heard(told: bytes) -> None:
+            news = words.unpack(told, words.News)
+            given = words.given(news) if news is not None else None
+            # One that goes on to know no more than we is as good as none: another is asked then.
+            more = given is not None and shard.hear(at, given, self._drift)
+            self._failed[number] = 0 if more else self._failed[number] + 1
+            if more:
+                self.changed()
+
+        def failed(_: Any) -> None:
+            self._failed[number] += self._turns
+
+        self._fleet.ask(whom, "fresh-news", body, patience_s).addCallback(heard).addErrback(failed)
+
+    def _pulled(self, body: bytes) -> bytes:
+        pull = words.unpack(body, words.Pull)
+        if pull is None or not 0 <= pull.shard < len(self.shards):
+            raise Refused("no such shard" if pull is not None else "unreadable")
+        self.told += 1
+        found = words.pack(
+            words.news(self.shards[pull.shard].give(self.clock(), pull.number, pull.upto))
+        )
+        if len(found) > words.LONGEST:
+            raise Refused("the shard is too large, expected more shards")
+        return found
+
+    # Sessions and loads, remembered for others.
+
+    def _pin_asked(self, body: bytes) -> bytes:
+        ask = _read(body, words.PinAsk)
+        return words.pack(words.pin_told(*self.keeper.ask(self.clock(), ask.name, ask.lasts)))
+
+    def _pin_put(self, body: bytes) -> bytes:
+        put = _read(body, words.PinPut)
+        pin = words.pin(put)
+        if pin is None:
+            raise Refused("no engine")
+        return words.pack(words.pin_told(self.keeper.put(self.clock(), put.name, pin, put.lasts), True))
+
+    def _load_asked(self, body: bytes) -> bytes:
+        ask = _read(body, words.LoadAsk)
+        group, point = self.loads.get(ask.ref) or (0, Point(-1, -1))
+        return words.pack(words.LoadTold(group, point.life, point.number))
+
+    def _load_put(self, body: bytes) -> bytes:
+        put = _read(body, words.LoadPut)
+        self.loads.put(put.ref, put.group, Point(put.life, put.number))
+        return b""
+
+    # What we ask of keepers.
+
+    def session(self, name: str, lasts: Span) -> Deferred[Known]:
+        """What keepers know of a session; never fails."""
+        named = pins.keepers(name, self._managers)
+        body = words.PinAsk(name, lasts)
+
+        def settle(answers: list[words.PinTold]) -> Known:
+            return pins.known(len(named), [(words.pin(one), one.sure) for one in answers])
+
+        # Answers that say the same of a session from a majority are enough: the slowest is not waited for.
+        return self._gather(
+            named, "fresh-pin", body, words.PinTold, pins.enough(len(named)), self._pin_asked
+        ).addCallback(settle)
+
+    def put_session(self, name: str, lasts: Span, pin: Pin) -> Deferred[tuple[bool, Pin | None]]:
+        """Whether a majority remembers it so, and what else one of them said; never fails."""
+        named = pins.keepers(name, self._managers)
+        body = words.pin_put(name, lasts, pin)
+
+        def settle(answers: list[words.PinTold]) -> tuple[bool, Pin | None]:
+            told = [one for one in map(words.pin, answers) if one is not None]
+            others = [one for one in told if (one.engine, one.version) != (pin.engine, pin.version)]
+            return pins.settled(len(named), pin, told), others[0] if others else None
+
+        return self._gather(
+            named, "fresh-pin-put", body, words.PinTold, pins.enough(len(named)), self._pin_put
+        ).addCallback(settle)
+
+    def ended(self, ref: str, group: int, point: Point) -> None:
+        """A load has ended: told to those that remember it, not waited for."""
+        self._own_loads.put(ref, group, point)
+        body = words.pack(words.LoadPut(ref, group, point.life, point.number))
+        for name in pins.keepers(ref, self._managers):
+            if name == self.name:
+                self.loads.put(ref, group, point)
+            else:
+                asked = self._fleet.ask(name, "fresh-load-put", body, self._patience_s)
+                asked.addErrback(lambda _: None)
+
+    def load(self, ref: str) -> Deferred[tuple[int, Point] | None]:
+        """Where a load ended; None where nobody says. Never fails."""
+        own = self._own_loads.get(ref) or self.loads.get(ref)
+        if own is not None:
+            return succeed(own)
+
+        def settle(answers: list[words.LoadTold]) -> tuple[int, Point] | None:
+            known = [one for one in answers if one.life >= 0]
+            return (known[0].group, Point(known[0].life, known[0].number)) if known else None
+
+        named = [name for name in pins.keepers(ref, self._managers) if name != self.name]
+        return self._gather(
+            named, "fresh-load", words.LoadAsk(ref), words.LoadTold, 1, None, lambda one: one.life >= 0
+        ).addCallback(settle)
+
+    @property
+    def _patience_s(self) -> float:
+        return self.parts.sessions.patience / UNITS
+
+    def _gather(
+        self,
+        names: Iterable[str],
+        kind: str,
+        body: msgspec.Struct,
+        answer: type[T],
+        wanted: int,
+        own: Callable[[bytes], bytes] | None,
+        counts: Callable[[T], bool] = lambda _: True,
+    ) -> Deferred[list[T]]:
+        """Answers, once so many of them count or no more can come; `own`: how we answer ourselves."""
+        done: Deferred[list[T]] = Deferred()
+        found, left, packed = list[T](), set(names), words.pack(body)
+
+        def came(told: bytes | None, name: str) -> None:
+            left.discard(name)
+            one = words.unpack(told, answer) if told is not None else None
+            if done.called:
+                return
+            if one is not None:
+                found.append(one)
+            if not left or sum(map(counts, found)) >= wanted:
+                done.callback(found)
+
+        for name in list(left):
+            if name == self.name and own is not None:
+                came(own(packed), name)
+            else:
+                asked = self._fleet.ask(name, kind, packed, self._patience_s)
+                asked.addErrback(lambda _: None).addCallback(came, name)
+        if not left and not done.called:
+            done.callback(found)
+        return done
+
+
+def _read(body: bytes, kind: type[T]) -> T:
+    found = words.unpack(body, kind)
+    if found is None:
+        raise Refused("unreadable")
+    return found
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -171,16 +171,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """The engines that a batch may go to, by location, kind and cell; None: all of them."""
+    """The engines that a batch may go to, by location, kind and cell, and one by one; None: all of them."""
 
     locations: tuple[int, ...] | None
     kinds: tuple[int, ...] | None
     cell: int | None
+    engines: frozenset[int] | None = None
 
     def admits(self, engine: EngineEntry) -> bool:
         return ((self.locations is None or engine.location in self.locations)
                 and (self.kinds is None or engine.kind in self.kinds)
-                and (self.cell is None or engine.cell == self.cell))
+                and (self.cell is None or engine.cell == self.cell)
+                and (self.engines is None or engine.engine in self.engines))
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,7 +223,8 @@
 @dataclass(slots=True)
 class Arrival:
     """A batch as it comes in; cost is 0 and memory 0 where no estimate was told. The number of its table
-    group is the same at every gateway."""
+    group is the same at every gateway. `among`: the engines that may serve it now, None: all; looked at anew
+    for each dispatch."""
 
     index: int
     group: int
@@ -232,6 +235,7 @@
     memory: float
     tables: int
     is_retry: bool
+    among: frozenset[int] | None = None
 
 
 class Transport(Protocol):
--- a/vanerelay/joining.py
+++ b/vanerelay/joining.py
@@ -16,7 +16,7 @@
 
 def _parts(host: Host, options: Mapping[str, Any]) -> list[Part]:
     """Each before those that stand on it."""
-    found, members, fleet = list[Part](), None, None
+    found, members, fleet, leases = list[Part](), None, None, None
     if "membership" in options:
         from vanerelay.membership.join import MembersPart
 
@@ -38,5 +38,10 @@
     if "leases" in options and fleet is not None:
         from vanerelay.leases.join import LeasesPart
 
-        found.append(LeasesPart(host, options["leases"], fleet))
+        leases = LeasesPart(host, options["leases"], fleet)
+        found.append(leases)
+    if "freshness" in options and fleet is not None and leases is not None:
+        from vanerelay.freshness.join import FreshnessPart
+
+        found.append(FreshnessPart(host, options["freshness"], fleet, leases))
     return found
--- a/vanerelay/lab/hosts.py
+++ b/vanerelay/lab/hosts.py
@@ -7,11 +7,12 @@
 import random
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from vanerelay.history import History
 from vanerelay.interface import SECOND
+from vanerelay.lab.copies import Copies
 from vanerelay.lab.model import Cold, Engine, Job, Machine, Put, Word
 from vanerelay.lab.net import Joint, Network
 from vanerelay.lab.record import Record, Row, What
@@ -20,6 +21,8 @@
 from vanerelay.net.resp import command
 
 STATEMENT = re.compile(rb"-- w=(\d+) m=(\d+) n=(\d+)")
+TABLE = re.compile(rb"(INTO|FROM) sales_(\d+)\.")
+ROWS = 200  # of copies, in one answer
 TOLD_MOST = 7 * SECOND  # what the feed has to tell counts as told by then
 QUERY = re.compile(rb"SUB=(\d+)&wait=(\d+)")
 Later = Callable[[float, Callable[[], None]], Any]
@@ -35,6 +38,7 @@
     record: Record
     zero: int = 0
     histories: str = ""
+    copies: Copies = field(default_factory=lambda: Copies(0))
 
     def now(self) -> int:
         return self.net.now()
@@ -104,6 +108,8 @@
         self.model = Engine(machine, cold, world.now(), fresh)
         self._chance, self._timer = random.Random(seed), None
         self.jobs = dict[str, tuple[EngineSession, bytes, str]]()  # session, id, group
+        self._tables = dict[str, tuple[int, bool]]()  # table group, and whether it is written
+        self._points = dict[str, tuple[tuple[int, int], int]]()  # what a read saw, and when
         self.phase, self.started = "SERVING", world.now() if fresh else 0
         self._number, self.doors, self.sessions = 0, list[Any](), set[EngineSession]()
 
@@ -147,17 +153,23 @@
             world.now(),
         )
         self.jobs[key] = session, ident, row["group"]
+        table = TABLE.search(body)
+        if table is not None and world.copies.knows(self.name):
+            self._tables[key] = int(table[2]), table[1] == b"INTO"
         put = self.model.put(world.now(), job)
         if put is Put.FULL:
             del self.jobs[key]
             world.add(What.NEVER, told="pushed back", **row)
             session.say(ident, b"BUSY", self._report())
+        elif put is Put.TAKEN and self._tables.get(key, (0, False))[1] and world.copies.source != self.name:
+            self.model.fail(world.now(), key)  # loads end at the source alone
         elif put is Put.TAKEN and self.model.errors and self._chance.random() < self.model.errors:
             self.model.fail(world.now(), key)
         self.touch()
 
-    def order(self, session: EngineSession, ident: bytes, told: bytes) -> None:
-        """An order under a lease: what goes with it is looked at before anything is done."""
+    def order(self, session: EngineSession, ident: bytes, told: bytes, asked: int | None = None) -> None:
+        """An order under a lease: what goes with it is looked at before anything is done. `asked`: for what
+        copies it holds, from that table group on."""
         fields = dict(pair.split("=", 1) for pair in told.decode().split(",") if "=" in pair)
         task, holder = fields.get("task", ""), fields.get("holder", "")
         number, serial = int(fields.get("number", 0)), int(fields.get("serial", 0))
@@ -174,10 +186,24 @@
 
         def done() -> None:
             self._history.add("order", begun, result="ok", **row)
-            session.say(ident, b"OK", b"total=1")
+            if asked is None:
+                session.say(ident, b"OK", b"total=1")
+            else:
+                session.say(ident, b"OK", *self._copies(asked))
 
         self._later(ORDER_S, done)
 
+    def _copies(self, first: int) -> tuple[bytes, bytes]:
+        """What table groups are held up to where, a page of them."""
+        copies, now = self._world.copies, self._world.now()
+        last = min(copies.tables, first + ROWS)
+        if not copies.knows(self.name):
+            return b"total=1", b""
+        role = b"source" if copies.source == self.name else b"copy"
+        points = [(table, *copies.point(now, self.name, table)) for table in range(first, last)]
+        page = b"".join(b"%d\t%d:%d\t%b\n" % (*point, role) for point in points)
+        return (b"total=1,next=%d" % last if last < copies.tables else b"total=1"), page
+
     def cancel(self, session: EngineSession, ident: bytes) -> None:
         key = f"{session.number}/{ident.decode()}"
         self.model.advance(self._world.now())
@@ -201,13 +227,22 @@
         for _, word, job in news:
             session, ident, group = self.jobs[job.key]
             row = {"batch": ident.decode(), "group": group, "manager": session.manager, "engine": self.name}
+            table, writes = self._tables.get(job.key, (-1, False))
             if word is Word.BEGAN:
                 world.add(What.BEGAN, **row)
+                if table >= 0:
+                    self._points[job.key] = world.copies.point(now, self.name, table), self._history.now()
                 continue
             del self.jobs[job.key]
+            self._tables.pop(job.key, None)
+            seen = self._points.pop(job.key, None)
+            if word is Word.ENDED and writes and world.copies.source != self.name:
+                word = Word.FAILED
             if word is Word.ENDED:
                 world.add(What.ENDED, **row)
                 report = b"total=1,elapsed=%.1f,rss=%d," % (job.done / 10, job.need)
+                if table >= 0 and seen is not None:
+                    report += self._tell(ident.decode(), table, writes, *seen)
                 session.say(
                     ident, b"OK", report + self._report(), b"%b\t%b\tok\n" % (ident, self.name.encode())
                 )
@@ -225,6 +260,16 @@
         due = self.model.due(now)
         self._timer = None if due is None else self._later((due - now) / UNITS, self.touch)
 
+    def _tell(self, ref: str, table: int, writes: bool, point: tuple[int, int], begun: int) -> bytes:
+        """What a batch that has ended saw or did, for its answer and the history."""
+        if writes:
+            point = self._world.copies.load(self._world.now(), table)
+        life, number = point
+        self._history.add(
+            "commit" if writes else "read", begun, ref=ref, table=table, life=life, number=number
+        )
+        return b"%b=%d:%d," % (b"to" if writes else b"at", life, number)
+
     def _later(self, seconds: float, call: Callable[[], None]) -> Any:
         return self._world.net.reactor.callLater(seconds, call)
 
@@ -291,7 +336,9 @@
             elif parts[0] == b"cancel":
                 self._host.cancel(self, parts[1])
             elif parts[0] == b"order" and len(parts) > 2:
-                self._host.order(self, *parts[1:3])
+                self._host.order(self, parts[1], parts[2])
+            elif parts[0] == b"copies" and len(parts) > 3 and parts[3].isdigit():
+                self._host.order(self, parts[1], parts[2], int(parts[3]))
             elif parts[0] == b"health":
                 self.say(parts[1], b"UP", b"-")
 
--- a/vanerelay/lab/load.py
+++ b/vanerelay/lab/load.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
+import re
 import struct
 from bisect import bisect_left
 from collections import defaultdict
@@ -10,12 +12,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from vanerelay.interface import SECOND, Effect
+from vanerelay.history import History
+from vanerelay.interface import MILLISECOND, SECOND, Effect
 from vanerelay.lab.hosts import World
 from vanerelay.lab.net import Joint
 from vanerelay.lab.record import What
 from vanerelay.lab.schedule import Need, shares
-from vanerelay.lab.script import Clients
+from vanerelay.lab.script import Clients, Group
 from vanerelay.net.clock import UNITS
 from vanerelay.net.frames import ANSWER, LAST, LEAVE, OPEN_MOST, REQUEST, frame
 
@@ -23,6 +26,7 @@
 HEAD = struct.Struct(">IBI")
 WATCHED = 2 * SECOND  # past its limit, for which a batch is watched for what is still said of it
 CONNECTIONS = 8  # to one manager at a time
+FOLLOWS = 5 * MILLISECOND  # after a load has ended until its reader comes
 
 
 @dataclass(slots=True)
@@ -34,6 +38,8 @@
     manager: str
     stream: int = 0
     timer: Any = None
+    begun: int = 0  # by the histories' clock
+    hint: str = ""
 
 
 class Connection:
@@ -76,7 +82,7 @@
                     length = int.from_bytes(payload[end : end + 2], "big")
                     fields[payload[at + 1 : end].decode()] = payload[end + 2 : end + 2 + length].decode()
                     at = end + 2 + length
-                self._load.answered(self.open.pop(stream), payload[0], fields)
+                self._load.answered(self.open.pop(stream), payload[0], fields, payload[at:])
 
     def over(self, reset: bool) -> None:
         self.closing = True
@@ -103,6 +109,7 @@
         address: Callable[[str], str],
         release: Callable[[str], str],
         seed: int,
+        groups: Sequence[Group] = (),
     ) -> None:
         self._world, self._clients, self._needs = world, clients, needs
         self._names, self._address, self._release = list(names), address, release
@@ -111,6 +118,12 @@
         self.ready = set[str]()  # as the front knows
         self._connections = defaultdict[str, list[Connection]](list)
         self.open, self._serial, self.behind = 0, 0, 0
+        self._history = History("clients", f"{world.histories}/clients.jsonl" if world.histories else "")
+        self._ended = dict[int, str]()  # the last load of each table group, by its reference
+        self._followers = defaultdict[str, list[Group]](list)
+        for group in groups:
+            if group.follows:
+                self._followers[group.follows].append(group)
 
     def begin(self) -> None:
         self._bring()
@@ -131,9 +144,11 @@
             wait = max(1, self._needs[self._next].at - now) / UNITS
             self._world.net.reactor.callLater(wait, self._bring)
 
-    def _try(self, need: Need, draw: float) -> None:
+    def _try(self, need: Need, draw: float, even: bool = False) -> None:
+        """`draw`: of the manager, by their shares of the load, or `even` for all."""
         need.tries += 1
-        manager = self._names[min(len(self._names) - 1, bisect_left(self._shares, draw))]
+        at = int(draw * len(self._names)) if even else bisect_left(self._shares, draw)
+        manager = self._names[min(len(self._names) - 1, at)]
         if manager not in self.ready:
             others = [name for name in self._names if name in self.ready]
             if not others:
@@ -182,10 +197,14 @@
             bytes((len(name),)) + name.encode() + len(value).to_bytes(2, "big") + value.encode()
             for name, value in told.items()
         )
-        body = (
-            f"SELECT a, b, c FROM sales_{need.table}.orders "
-            f"-- w={need.work} m={need.memory} n={group.threads}"
+        what = (
+            f"INSERT INTO sales_{need.table}.orders SELECT a, b, c FROM staged"
+            if group.load
+            else f"SELECT a, b, c FROM sales_{need.table}.orders"
         )
+        one.hint, one.begun = self._hint(need) if need.hint else "", History.now()
+        hint = f"/*+ vanerelay {one.hint} */ " if one.hint else ""
+        body = f"{hint}{what} -- w={need.work} m={need.memory} n={group.threads}"
         connection.ask(one, bytes((len(told),)) + fields + body.encode())
         self._world.add(
             What.SENT,
@@ -199,12 +218,59 @@
         left = (allow * 10 + WATCHED) / UNITS
         one.timer = self._world.net.reactor.callLater(left, self._forget, connection, one)
 
+    def _hint(self, need: Need) -> str:
+        text = need.hint.replace("@SESSION@", f"s{need.session}")
+        last = self._ended.get(need.table, "")
+        return text.replace("@LAST@", last) if last else re.sub(r"after=@LAST@ ?", "", text) or "stale<=1h"
+
+    def _tell(self, one: Try, code: int, fields: dict[str, str], body: bytes) -> None:
+        """For the histories: what a client was answered."""
+        need, more = one.need, dict[str, Any](fields)
+        if one.hint or need.group.load:
+            self._history.add(
+                "query",
+                one.begun,
+                ref=one.ref,
+                table=need.table,
+                group=need.group.name,
+                session=f"s{need.session}" if "@SESSION@" in need.hint else "",
+                hint=one.hint,
+                manager=one.manager,
+                result=CODES.get(code, "errored"),
+                engine=body.split(b"\t")[1].decode() if body.count(b"\t") > 1 else "",
+                **more,
+            )
+
+    def _followed(self, one: Try) -> None:
+        """A load has ended: those that read it come at once, by another manager."""
+        self._ended[one.need.table] = one.ref
+        for group in self._followers.get(one.need.group.name, ()):
+            others = [name for name in self._names if name in self.ready and name != one.manager]
+            need = dataclasses.replace(
+                one.need,
+                number=-self._serial,
+                at=self._world.now() - self._world.zero + FOLLOWS,
+                group=group,
+                work=group.work,
+                memory=round(group.memory),
+                hint=group.hint.replace("@LAST@", one.ref),
+                tries=0,
+                over=False,
+            )
+            self.open += 1
+            place = self._names.index(self._chance.choice(others)) if others else 0
+            draw = (place + 0.5) / len(self._names)
+            self._world.net.reactor.callLater(FOLLOWS / UNITS, self._try, need, draw, True)
+
     def _waited(self, need: Need) -> int:
         return self._world.now() - self._world.zero - need.at
 
-    def answered(self, one: Try, code: int, fields: dict[str, str]) -> None:
+    def answered(self, one: Try, code: int, fields: dict[str, str], body: bytes = b"") -> None:
         word = CODES.get(code, "errored")
         self._stop(one)
+        self._tell(one, code, fields, body)
+        if word == "returned" and one.need.group.load:
+            self._followed(one)
         self._world.add(
             What.ANSWERED,
             batch=one.ref,
--- a/vanerelay/lab/play.py
+++ b/vanerelay/lab/play.py
@@ -17,6 +17,7 @@
 
 from vanerelay.interface import SECOND
 from vanerelay.lab import judge, schedule, site
+from vanerelay.lab.copies import Copies
 from vanerelay.lab.hosts import EngineHost, FeedHost, World
 from vanerelay.lab.links import Parties, Way
 from vanerelay.lab.load import Load
@@ -64,7 +65,8 @@
         shutil.rmtree(self._histories, ignore_errors=True)  # of a play before
         leased = "leases {" in script.managers.options
         histories = str(self._histories) if leased else ""
-        self.world = World(self.net, self.record, self.clock.now(), histories)
+        copies = Copies(script.clients.tables, began=self.clock.now())
+        self.world = World(self.net, self.record, self.clock.now(), histories, copies)
         self._foundings = [""]  # the beginning, and faults after which its files are written anew
         self.feed = FeedHost(self.world, script.feed_late)
         self.parties = Parties()
@@ -94,6 +96,7 @@
             lambda name: self.managers[name].listen,
             self._label,
             seed,
+            script.groups,
         )
 
     # What there is.
@@ -175,6 +178,9 @@
             next(one.refuses for one in self.script.engines if one.kind == kind),
         )
         self.engines[name] = self.feed.engines[name] = host
+        alike = next(one for one in self.script.engines if one.kind == kind)
+        if alike.copies:
+            self.world.copies.join(name, alike.copies, alike.lag)
         self.parties.locations[name] = place
         for manager in self.managers:
             door = self.net.door(manager, name, self.net.host(), host.session)
@@ -567,6 +573,8 @@
             model.pace = 1.0 / fault.factor if on else 1.0
         elif fault.do == "errors":
             model.errors = fault.factor if on else 0.0
+        elif fault.do in ("lag", "stick", "restore", "lead") and self.world.copies.knows(host.name):
+            self._strike_copies(fault, host, on)
         elif fault.do in ("drain", "replace") and on:
             host.leave(max(fault.lasting, SECOND // 10))
             if fault.do == "replace":
@@ -574,6 +582,22 @@
                 self.feed.tell([new])
         host.touch()
 
+    def _strike_copies(self, fault: Fault, host: EngineHost, on: bool) -> None:
+        copies, now = self.world.copies, self.clock.now()
+        lag = next(one.lag for one in self.script.engines if one.kind == host.kind)
+        if fault.do == "lead" and on:
+            copies.lead(now, host.name, lag)
+        elif host.name in copies.followers and fault.do == "lag":
+            copies.slow(now, host.name, fault.delay if on else lag)
+        elif host.name in copies.followers and fault.do == "stick":
+            copies.stick(now, host.name, on)
+        elif host.name in copies.followers and fault.do == "restore":
+            if on:
+                copies.restore(now, host.name, int(fault.factor))
+            else:
+                copies.followers[host.name].lag = lag
+                copies.stick(now, host.name, False)
+
     # What is said of it.
 
     @property
--- a/vanerelay/lab/schedule.py
+++ b/vanerelay/lab/schedule.py
@@ -24,6 +24,8 @@
     memory: int
     table: int
     draw: float  # of the manager, 0 to 1
+    session: int = 0
+    hint: str = ""
     tries: int = 0
     over: bool = False
 
@@ -55,7 +57,8 @@
         memory = max(1, round(group.memory * math.exp(chance.gauss(0.0, group.spread / 2))))
         table, draw = chance.randrange(max(1, script.clients.tables)), chance.random()
         if kept * most < group.rate * _factor(loads, int(at)):
-            yield Need(0, int(at), group, work, memory, table, draw)
+            session = int(chance.random() * script.clients.sessions) if group.hint else 0
+            yield Need(0, int(at), group, work, memory, table, draw, session, group.hint)
 
 
 def _factor(loads: list[Fault], at: int) -> float:
--- a/vanerelay/lab/script.py
+++ b/vanerelay/lab/script.py
@@ -18,7 +18,9 @@
 @dataclass(frozen=True, slots=True)
 class Group:
     """A service group and its load. `rate`: batches a second from all clients together; `work` of one on one
-    core, scattered by a log-normal of `spread`; `memory` in MB."""
+    core, scattered by a log-normal of `spread`; `memory` in MB. `load`: it writes; `hint`: in the statements
+    of reads, with @SESSION@ and @LAST@ (a load of this table group that ended) filled in; `follows`: its
+    batches come 5 ms after each load of that group has ended, by another manager."""
 
     name: str
     goal: Span
@@ -32,25 +34,31 @@
     memory: float = 100.0
     threads: int = 1
     locations: tuple[str, ...] = ()
+    load: bool = False
+    hint: str = ""
+    follows: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Clients:
     """What clients do: `retries` after a pushback (of repeatable ones after any failure), `backoff` before
     the first, doubled each time; `skew`: how much more the first manager gets than the last; `notice`: after
-    how long the front learns that a manager is gone; `tables`: groups of tables that statements name."""
+    how long the front learns that a manager is gone; `tables`: groups of tables that statements name;
+    `sessions`: that readers keep."""
 
     retries: int = 2
     backoff: Span = 200 * MILLISECOND
     skew: float = 1.0
     notice: Span = SECOND
     tables: int = 20
+    sessions: int = 10
 
 
 @dataclass(frozen=True, slots=True)
 class Engines:
     """Some engines alike: `count` of them, in `locations` in turn. `refuses`: orders under a lease that was
-    taken over."""
+    taken over. `copies`: of table groups, "source" (the first of them, where loads end) or "follows", `lag`
+    behind; empty: none."""
 
     kind: str
     count: int
@@ -59,6 +67,8 @@
     connections: int = 0
     locations: tuple[str, ...] = ("here",)
     refuses: bool = True
+    copies: str = ""
+    lag: Span = 200 * MILLISECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +170,8 @@
     "links": ("slow", "hold", "swallow", "refuse", "reset", "cut"),
     "managers": ("kill", "freeze", "end", "settings"),
     "programs": ("kill", "freeze", "end"),
-    "engines": ("crash", "vanish", "stall", "pace", "errors", "drain", "replace"),
+    "engines": ("crash", "vanish", "stall", "pace", "errors", "drain", "replace",
+                "lag", "stick", "restore", "lead"),
     "": ("load",),
 }
 FOLDERS = ("kept", "gone", "founded")  # founded: gone, and the files of the beginning written anew
--- a/vanerelay/leases/parts.py
+++ b/vanerelay/leases/parts.py
@@ -15,7 +15,7 @@
 @dataclass(frozen=True, slots=True)
 class Chore:
     """A command that one manager sends to every engine. `every`: to each engine once in so long; `words`: the
-    command, with @ID@, @TASK@, @NUMBER@, @SERIAL@ and @HOLDER@ filled in; `patience`: for an answer;
+    command, with @ID@, @TASK@, @NUMBER@, @SERIAL@, @HOLDER@ and @FROM@ filled in; `patience`: for an answer;
     `shards`: parts of the engines, a task each; `at_once`: orders of one shard that are out."""
 
     name: str
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -22,7 +22,7 @@
 from vanerelay.net.peers import Peers
 from vanerelay.net.resp import Note
 from vanerelay.net.statements import table_group
-from vanerelay.seam import Part, tells
+from vanerelay.seam import Guide, Part, Want, tells
 
 log = structlog.get_logger()
 
@@ -38,8 +38,8 @@
 class Request(Held):
     """A batch on the sockets: who waits for it, and what goes to an engine."""
 
-    __slots__ = ("attempts", "body", "client", "grant", "group", "limit", "priority", "service",
-                 "since", "stream", "used")
+    __slots__ = ("arrival", "attempts", "body", "client", "grant", "group", "guide", "limit", "priority",
+                 "service", "since", "stream", "used")
 
     def __init__(self, service: Service, client: ClientConnection, stream: int, name: str, group: str,
                  limit: int, body: bytes, since: int) -> None:
@@ -50,10 +50,18 @@
         self.attempts: list[Attempt | None] = []
         self.used: list[Line] = []
         self.grant = self.priority = 0
+        self.arrival: Arrival | None = None
+        self.guide: Guide | None = None
 
     def left(self) -> None:
         self.service.left(self)
 
+    def among(self, engines: frozenset[int] | None) -> None:
+        self.service.led(self, engines)
+
+    def refuse(self, wait: int) -> None:
+        self.service.refused(self, wait)
+
 
 class Service:
     """The Transport of the Gateway on sockets. `open_gateway` is called once its parts stand."""
@@ -73,7 +81,7 @@
         self._guard_at: int | None = None
         self._guard_timer: Any = None
         self._listed = self.ending = False
-        self._watchers, self._tallies = list[Part](), list[Part]()
+        self._watchers, self._tallies, self._leads = list[Part](), list[Part](), list[Part]()
         self.open, self._room = 0, room
         self.now = clock.now()
 
@@ -87,6 +95,8 @@
         self._most_open = int((profile.get("limits") or {}).get("maxOpen") or 0)
         self._most_dispatches, self._grants = allowed.most_dispatches, allowed.grants
         self._priorities = allowed.priorities
+        self._goals = [group.goal for group in groups]
+        self._longest_wait = allowed.longest_retry_time if allowed.retry_times else 0
         self._reported = terms.report_names(profile)
 
     def open_gateway(self, seed: int, profile: dict[str, Any]) -> None:
@@ -112,6 +122,7 @@
         """Subsystems, told from now on of what they want to be told."""
         self._watchers += [part for part in parts if tells(part, "listed")]
         self._tallies += [part for part in parts if tells(part, "answered")]
+        self._leads += [part for part in parts if tells(part, "guide")]
 
     # What clients bring.
 
@@ -144,6 +155,15 @@
             return Taken.ANSWERED
         # The client counts from when it sent, which nobody tells: the earliest moment known stands for it.
         limit = since + int(allow * 10)
+        guide = None
+        if self._leads:
+            want = Want(name, told["service"], statement, self._goals[group], limit - self.now)
+            found = next((led for part in self._leads if (led := part.guide(want)) is not None), None)
+            if isinstance(found, str):
+                self._count_unheld(told, frames.ERRORED)
+                client.answer(frame.stream, frames.ERRORED, {"why": found}, b"")
+                return Taken.ANSWERED
+            guide = found
         held = Request(self, client, frame.stream, name, told["service"], limit, body, since)
         self._holding.open(held)
         self.open += 1
@@ -155,15 +175,43 @@
             index=held.index, group=group, customer=customer, key=None, time_limit=limit,
             cost=int(math.ceil(effort * 10)), memory=space, is_retry=False,
             tables=table_group(statement))
+        held.arrival, held.guide = arrival, guide
+        if guide is None:
+            self._take(held)
+        else:
+            self._call(held, guide.begin, held)
+        self._settle(held)
+        self._guard()
+        return Taken.ANSWERED if held.ended else held
 
+    def _take(self, held: Request) -> None:
         def take() -> None:
-            if self._gateway is not None:
-                held.batch = self._gateway.take(arrival)
+            if self._gateway is not None and held.arrival is not None:
+                held.batch = self._gateway.take(held.arrival)
 
         self._call(held, take)
+
+    def led(self, held: Request, engines: frozenset[int] | None) -> None:
+        """Who leads a batch says which engines may serve it: the module has it from now on."""
+        if held.ended or held.arrival is None:
+            return
+        held.arrival.among = engines
+        if held.batch is not None:
+            return
+        group = self._groups.get(held.group.decode())  # settings may have been switched while it waited
+        if group is None:
+            self._answer(held, frames.PUSHED_BACK, {}, b"")
+        else:
+            held.arrival.group = group
+            self._take(held)
         self._settle(held)
         self._guard()
-        return Taken.ANSWERED if held.ended else held
+
+    def refused(self, held: Request, wait: int) -> None:
+        if not held.ended and held.batch is None:
+            told = min(wait, self._longest_wait) // 10
+            self._answer(held, frames.PUSHED_BACK, {"cooldown": str(told)} if told > 0 else {}, b"")
+        self._settle(held)
 
     def left(self, held: Request) -> None:
         """Its client no longer waits; what is out still ends."""
@@ -238,12 +286,19 @@
 
     # What engines bring.
 
-    def _ended(self, end: End, held: Request, number: int, sent: int) -> None:
+    def _ended(self, end: End, held: Request, number: int, sent: int, engine: int) -> None:
         outcome = ends.outcome(end)
         held.out -= 1
         held.attempts[number] = None
+        fields: dict[str, str] | None = {}
+        if held.guide is not None and not held.ended:
+            if outcome is Outcome.RETURNED:
+                fields = self._accepted(held.guide, engine, end.told)
+                outcome = Outcome.RETURNED if fields is not None else Outcome.SPOILT
+            else:
+                self._call(held, held.guide.missed, engine, outcome)
         if outcome is Outcome.RETURNED and not held.ended:
-            self._answer(held, frames.RETURNED, {}, end.rows)
+            self._answer(held, frames.RETURNED, fields or {}, end.rows)
         if held.batch is not None:
             work, memory = _told(end.told, "elapsed"), _told(end.told, "rss")
             report = terms.load_report(self._reported, _report(end.told.get("l", "")))
@@ -252,6 +307,14 @@
         self._settle(held)
         self._guard()
 
+    def _accepted(self, guide: Guide, engine: int, told: dict[str, str]) -> dict[str, str] | None:
+        """What goes with an answer; None where who leads the batch does not take it for one."""
+        try:
+            return guide.fields() if guide.accepts(engine, told) else None
+        except Exception:
+            log.exception("who leads a batch met a fault: its answer is not handed on")
+            return None
+
     def _noted(self, held: Request, number: int, note: Note) -> None:
         if held.batch is not None:
             self._call(held, held.batch.noted, number, note.kind, note.value)
@@ -279,6 +342,8 @@
         self._refs.discard(held.name)
         self._room += len(held.body)
         held.body = b""  # no dispatch follows
+        if held.guide is not None:
+            held.guide.over()
 
     def _count(self, held: Request, code: int, heard: bool = True) -> None:
         """Tells what became of a batch; `heard`: whether its client still waited."""
@@ -316,11 +381,13 @@
         held.attempts.append(attempt)
         held.out += 1
         attempt.noted = lambda note: self._noted(held, number, note)
-        attempt.done.addCallback(self._ended, held, number, self.now)
+        attempt.done.addCallback(self._ended, held, number, self.now, engine)
         attempt.done.addErrback(self._fault)
         if held.ended or wait <= 0 or number >= self._most_dispatches:
             self._reactor.callLater(0, attempt.end, End(Cause.OVER, Stage.NOT_CONNECTED))
         else:
+            if held.guide is not None:
+                held.guide.sent(engine)
             self._engines.send(engine, attempt, wait / UNITS)
 
     def _fault(self, fault: Any) -> None:
--- a/vanerelay/net/statements.py
+++ b/vanerelay/net/statements.py
@@ -28,8 +28,8 @@
         for quoted, word, other in _TOKEN.findall(statement) if quoted or word or other]
 
 
-def table_groups(statement: str) -> list[int]:
-    """The numbers of the schemas of all tables named, those written first, each once."""
+def named(statement: str) -> tuple[list[int], list[int]]:
+    """The numbers of the schemas of all tables that are written, and of those read."""
     tokens = _tokens(statement)
     written, read = list[int](), list[int]()
     awaited = writing = False
@@ -69,6 +69,12 @@
         elif word in _ENDS:
             awaited, listing[-1] = False, False
         at += 1
+    return written, read
+
+
+def table_groups(statement: str) -> list[int]:
+    """All of them, those written first, each once."""
+    written, read = named(statement)
     return list(dict.fromkeys(written + read))
 
 
--- a/vanerelay/options.py
+++ b/vanerelay/options.py
@@ -116,7 +116,8 @@
 
 SUBSYSTEMS = {"membership": "vanerelay.membership.parts", "xds": "vanerelay.xds.parts",
               "fleet": "vanerelay.fleet.parts", "rollout": "vanerelay.rollout.parts",
-              "leases": "vanerelay.leases.parts"}
+              "leases": "vanerelay.leases.parts", "freshness": "vanerelay.freshness.parts"}
+STANDS_ON = (("rollout", "fleet"), ("leases", "fleet"), ("freshness", "leases"))
 
 
 def subsystems(path: str) -> dict[str, Any]:
@@ -127,10 +128,10 @@
         block = document.only(name)
         if block is not None:
             found[name] = importlib.import_module(module).parts(block)
-    for name in ("rollout", "leases"):
+    for name, needed in STANDS_ON:
         block = document.only(name)
-        if block is not None and "fleet" not in found:
-            raise block.wrong(f"{name}: no fleet, expected a fleet block beside it")
+        if block is not None and needed not in found:
+            raise block.wrong(f"{name}: no {needed}, expected a {needed} block beside it")
     document.done()
     return found
 
--- a/vanerelay/seam.py
+++ b/vanerelay/seam.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
 
     from vanerelay.decide import Gateway
+    from vanerelay.interface import Outcome
     from vanerelay.net.clock import Clock
     from vanerelay.net.ends import End
     from vanerelay.net.feed import Change
@@ -68,6 +70,54 @@
         """A change of many engines is in force."""
 
 
+@dataclass(frozen=True, slots=True)
+class Want:
+    """A batch as it comes. `goal`: how long its service group's response goal is; `left`: until its time
+    limit. Both in the module's unit."""
+
+    ref: str
+    group: str
+    statement: str
+    goal: int
+    left: int
+
+
+class Lead(Protocol):
+    """A batch that a subsystem leads, and that the module does not have before it was told among which
+    engines."""
+
+    def among(self, engines: frozenset[int] | None) -> None:
+        """These may serve it from now on, for each further dispatch as well; None: all."""
+
+    def refuse(self, wait: int) -> None:
+        """Nobody may serve it: pushed back at once, with a time to return. Nothing where it is taken."""
+
+
+class Guide:
+    """How a subsystem leads one batch: each call as it happens, all of them empty here."""
+
+    def begin(self, lead: Lead) -> None:
+        """The batch is held. `lead` is told at once or later."""
+        lead.among(None)
+
+    def sent(self, engine: int) -> None:
+        """A dispatch goes out."""
+
+    def accepts(self, engine: int, told: Mapping[str, str]) -> bool:
+        """Whether an answer that came may be handed on; else it counts as spoilt, and another may follow."""
+        return True
+
+    def missed(self, engine: int, outcome: Outcome) -> None:
+        """A dispatch ended without an answer."""
+
+    def fields(self) -> dict[str, str]:
+        """Words for the answer that was accepted."""
+        return {}
+
+    def over(self) -> None:
+        """The batch has its final answer, or nobody waits for it."""
+
+
 class Part:
     """One subsystem in the program: each call in the order of this page, all of them empty here."""
 
@@ -97,6 +147,10 @@
     def listed(self, change: Change) -> None:
         """A change of the list is in force."""
 
+    def guide(self, want: Want) -> Guide | str | None:
+        """Who leads a batch; None: nobody, words for its client where it can't be served as it asks."""
+        return None
+
     def answered(self, group: str, utility: float, code: int, tenths: int, dispatches: int) -> None:
         """What became of a batch: the part of its utility that its answer earned, the frames' code, how long
         it took, how many dispatches it had."""
