--- a/bench/freshness.py
+++ b/bench/freshness.py
@@ -61,16 +61,20 @@
 
 
 def modes() -> None:
-            """By lag: utility of the reads, how many were older than a second, what became of them.""" cells
-            = [(lag, mode) for lag in LAGS for mode in ("hints", "any", "source", "freshest")] with
-            ThreadPoolExecutor(SIDE_BY_SIDE) as pool: found = list(pool.map(lambda cell:
-            plays.play(site(cell[1], cell[0]), 1), cells)) print("lag    mode       read  utility  older than
-            1 s  pushed back  asked/s of an engine") for (lag, mode), done in zip(cells, found, strict=True):
-            rows = [dict(row, hint="stale<=1s") if row.get("hint") else row for row in done.rows] ended =
-            [row["result"] for row in rows if row["op"] == "query" and row["group"] == "look"] asked =
-            sum(row["op"] == "order" for row in rows) / 20 / 7 print( f"{lag:6} {mode:9}
-            {ended.count('returned'):5}  {done.told['served_since']:7.3f}  " f"{len(reads.older(rows)):14}
-            {ended.count('pushed back'):11}  {asked:5.2f}  {done.findings[:1] or ''}" )
+    """By lag: utility of the reads, how many were older than a second, what became of them."""
+    cells = [(lag, mode) for lag in LAGS for mode in ("hints", "any", "source", "freshest")]
+    with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
+        found = list(pool.map(lambda cell: plays.play(site(cell[1], cell[0]), 1), cells))
+    print("lag    mode       read  utility  older than 1 s  pushed back  asked/s of an engine")
+    for (lag, mode), done in zip(cells, found, strict=True):
+        rows = [dict(row, hint="stale<=1s") if row.get("hint") else row for row in done.rows]
+        ended = [row["result"] for row in rows if row["op"] == "query" and row["group"] == "look"]
+        asked = sum(row["op"] == "order" for row in rows) / 20 / 7
+        print(
+            f"{lag:6} {mode:9} {ended.count('returned'):5}  {done.told['served_since']:7.3f}  "
+            f"{len(reads.older(rows)):14}  {ended.count('pushed back'):11}  {asked:5.2f}  "
+            f"{done.findings[:1] or ''}"
+        )
 
 
 def moment(seed: int, managers: int, hints: bool) -> plays.Played:
