Batches of our own earn no further dispatches for others

Batches that warm were taken as any, so each would have earned a tenth of a further dispatch that nobody outside can account for. An arrival says that it is our own (one word in the module). Test fails without it.

--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -12,7 +12,7 @@
 from twisted.internet.task import Clock
 
 from tests.helpers import World as Module
-from vanerelay.interface import SECOND, Arrival, Outcome
+from vanerelay.interface import SECOND, Arrival, Outcome, RationTerms
 from vanerelay.lab import demand
 from vanerelay.net import frames
 from vanerelay.options import BadOptions
@@ -305,13 +305,17 @@
     hands.stop()
 
 
-def test_a_batch_of_ours_goes_to_its_engine_alone_and_counts_as_any():
-    world = Module(engines=3)
-    arrival = Arrival(77, 0, 0, None, world.now + SECOND, 0, 100.0, 7, False, frozenset({1}))
-    batch = world.gateway.take(arrival)
-    assert world.did("dispatch")[-1][:2] == (77, 1) and world.gateway.pool.running == 1
-    world.end(batch, Outcome.RETURNED)
+def test_a_batch_of_ours_goes_to_its_engine_alone_and_earns_nobody_further_dispatches():
+    world = Module(engines=3, ration=RationTerms(10 * SECOND, 0, 0.5))
+    for number in range(20):
+        own = Arrival(70 + number, 0, 0, None, world.now + SECOND, 0, 100.0, 7, False, frozenset({1}), True)
+        batch = world.gateway.take(own)
+        assert world.did("dispatch")[-1][:2] == (70 + number, 1) and world.gateway.pool.running == 1
+        world.end(batch, Outcome.RETURNED)
     assert world.gateway.pool.running == 0
+    batch = world.take()
+    world.end(batch, Outcome.ERRORED)
+    assert len(batch.sends) == 1, "one batch of clients earns half a dispatch, ours none"
 
 
 # What operators write.
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -501,7 +501,7 @@
     def take(self, arrival: Arrival) -> Batch:
         now, group, self._rank = self.transport.now, self._groups[arrival.group], self._rank + 1
         batch = Batch(self, arrival, group, self._rank)
-        self._ration.ring.add(now, 1, 0)
+        self._ration.ring.add(now, 0 if arrival.spare else 1, 0)
         self._offered.add(now, self.pace.weight(arrival.group, arrival.cost))
         work = self.pace.work(arrival.group, arrival.cost)
         if not self._door.admits(group.utility, work) or arrival.time_limit <= now + self._margin:
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -224,7 +224,7 @@
 class Arrival:
     """A batch as it comes in; cost is 0 and memory 0 where no estimate was told. The number of its table
     group is the same at every gateway. `among`: the engines that may serve it now, None: all; looked at anew
-    for each dispatch."""
+    for each dispatch. `spare`: of our own, which no client brought: it earns no further dispatches."""
 
     index: int
     group: int
@@ -236,6 +236,7 @@
     tables: int
     is_retry: bool
     among: frozenset[int] | None = None
+    spare: bool = False
 
 
 class Transport(Protocol):
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -227,7 +227,8 @@
         heapq.heappush(self._guards, (limit, next(self._serial), held))
         held.arrival = Arrival(
             index=held.index, group=row, customer=0, key=None, time_limit=limit, cost=0, memory=memory,
-            is_retry=False, tables=table_group(statement), among=frozenset({engine}))
+            is_retry=False, tables=table_group(statement), among=frozenset({engine}),
+            spare=True)
         self._take(held)
         self._settle(held)
         self._guard()
