--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -308,7 +308,8 @@
 def test_a_batch_of_ours_goes_to_its_engine_alone_and_earns_nobody_further_dispatches():
     world = Module(engines=3, ration=RationTerms(10 * SECOND, 0, 0.5))
     for number in range(20):
-        own = Arrival(70 + number, 0, 0, None, world.now + SECOND, 0, 100.0, 7, False, frozenset({1}), True)
+        told = (70 + number, 0, 0, None, world.now + SECOND, 1000, 500.0, 7, False, frozenset({1}), True)
+        own = Arrival(*told)
         batch = world.gateway.take(own)
         assert world.did("dispatch")[-1][:2] == (70 + number, 1) and world.gateway.pool.running == 1
         world.end(batch, Outcome.RETURNED)
