A hinted read whose client left leaves nothing; forecasts of long horizons are judged

Found by reading the change again: where a client left before the keepers of its session had answered, the guide was led after its end and stayed for good; with a horizon of over a hundred slices every forecast fell out of the list of those to be judged. Ruled out by a test of their own: what waits in vain is refused at its goal; a copy that went back is left; a session moves. The first test fails without its mend.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -70,3 +70,16 @@
 #     words = ["order", "@ID@", "task=@TASK@,number=@NUMBER@,serial=@SERIAL@,holder=@HOLDER@", "refresh"]
 #   }
 # }
+
+# Reads that say how old they may be, and loads that go to their source. Off; docs/operators/freshness.md has all words.
+# freshness {
+#   watch {
+#     words = ["copies", "@ID@", "task=@TASK@,number=@NUMBER@,serial=@SERIAL@,holder=@HOLDER@", "@FROM@"]
+#   }
+# }
+
+# Table groups are read before they are asked for. Off; docs/operators/warming.md has all words.
+# warming {
+#   group     = "warm"
+#   statement = "SELECT count(*) FROM sales_@GROUP@.orders"
+# }
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 import random
+from types import SimpleNamespace
 
 import pytest
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
 
 from tests.helpers import Engine, Feed, Node, free_address, member, until
 from tests.helpers import World as Module
 from vanerelay.freshness import eligible, news, pins, spread, words
 from vanerelay.freshness import parts as fresh_parts
 from vanerelay.freshness.eligible import choose, needs
+from vanerelay.freshness.guides import Leading
 from vanerelay.freshness.hints import BadHint, Else, Hint, read
 from vanerelay.freshness.news import Shard
 from vanerelay.freshness.pins import Keeper, Known, Pin
 from vanerelay.freshness.positions import MARKS, Point, Positions, Told
-from vanerelay.interface import SECOND, Arrival, Outcome
+from vanerelay.interface import SECOND, Arrival, EngineState, Outcome
 from vanerelay.lab import staleness
 from vanerelay.options import BadOptions
 from vanerelay.options import read as read_options
+from vanerelay.seam import Want
 
 # Hints.
 
@@ -389,6 +394,89 @@
     assert words.rows(b"7\t1:5\tcopy\n8\t1:5\tcopy\n", 1) is None
 
 
+# Guides, without a program around them.
+
+
+class Led:
+    """The batch that a guide leads."""
+
+    def __init__(self):
+        self.told = []
+
+    def among(self, engines):
+        self.told.append(engines)
+
+    def refuse(self, wait):
+        self.told.append("refused")
+
+
+def guided(hint, positions, session=None):
+    """A guide of one read, and all that stands behind it; `session`: what its keepers answer, later."""
+    clock = Clock()
+    rows = [
+        SimpleNamespace(engine=n, name=name, state=EngineState.UP) for n, name in enumerate([S, "a", "b"])
+    ]
+    known = Deferred() if session is None else succeed(session)
+    freshness = SimpleNamespace(
+        parts=fresh_parts.Parts(fresh_parts.Watch(("@ID@",))),
+        positions=positions,
+        clock=lambda: 120,
+        whole=True,
+        session=lambda name, lasts: known,
+        put_session=lambda name, lasts, pin: succeed((True, None)),
+    )
+    leading = Leading(SimpleNamespace(reactor=clock), freshness, random.Random(1))
+    leading.there = lambda: {
+        one.name: SimpleNamespace(entry=one, sound=True, level=1.0, share=1.0, cores=4.0) for one in rows
+    }
+    leading._names = {one.engine: one.name for one in rows}
+    statement = f"/*+ vanerelay {hint} */ SELECT a FROM sales_{ONE}.t"
+    guide, lead = leading.guide(Want("x", "look", statement, SECOND, 2 * SECOND)), Led()
+    guide.begin(lead)
+    return leading, guide, lead, known, clock
+
+
+def test_a_read_whose_client_left_before_its_keepers_answered_leaves_nothing():
+    leading, guide, lead, known, clock = guided("pin=s stale<=50ms", heard(*FRESH))
+    guide.over()
+    known.callback(Known(None, False))
+    assert lead.told == [] and not leading.waiting and not leading.led and not clock.getDelayedCalls()
+
+
+def test_a_copy_that_went_back_is_left_and_its_answer_not_handed_on():
+    leading, guide, lead, _, _ = guided("stale<=5ms", heard(*FRESH))
+    assert lead.told == [frozenset({0, 1})]
+    guide.sent(1)
+    assert not guide.accepts(1, {"at": "1:3"}) and lead.told[-1] == frozenset({0})
+    guide.sent(0)
+    assert guide.accepts(0, {"at": "1:5"}) and guide.fields() == {"at": "1:5"}
+
+
+def test_a_session_moves_where_its_copy_does_not_answer():
+    kept = Known(Pin("a", 3, Point(1, 5)), False)
+    leading, guide, lead, _, _ = guided("pin=s stale<=5ms", heard(*FRESH), kept)
+    assert lead.told == [frozenset({1})]
+    guide.sent(1)
+    guide.missed(1, Outcome.PUSHED_BACK)
+    assert lead.told[-1] == frozenset({1}), "it is only full"
+    guide.missed(1, Outcome.RESET)
+    assert lead.told == [frozenset({1})], "nobody is known to hold all there was when it came"
+    leading.freshness.positions.asked(S, 121)
+    guide.look()
+    assert lead.told[-1] == frozenset({0})
+    guide.sent(0)
+    assert guide.accepts(0, {"at": "1:5"}) and guide.fields()["pin"] == "moved"
+
+
+def test_what_waits_in_vain_is_refused_at_its_goal_and_at_once_where_it_says_so():
+    _, _, lead, _, clock = guided("stale<=0s", heard(*FRESH))
+    clock.advance(0.9)
+    assert lead.told == []
+    clock.advance(0.2)
+    assert lead.told == ["refused"]
+    assert guided("stale<=0s else=refuse", heard(*FRESH))[2].told == ["refused"]
+
+
 # On sockets, with nobody to watch: three voters are named and none votes.
 
 OPTIONS = """
--- a/vanerelay/freshness/guides.py
+++ b/vanerelay/freshness/guides.py
@@ -115,7 +115,7 @@
 
     def __init__(self, leading: Leading, want: Want) -> None:
         self._leading, self._want = leading, want
-        self.came, self.out = leading.freshness.clock(), False
+        self.came, self.out, self.ended = leading.freshness.clock(), False, False
         self._timer: Any = None
 
     def begin(self, lead: Lead) -> None:
@@ -136,6 +136,8 @@
         self._lead.refuse(self._leading.soon)
 
     def _go(self, engines: frozenset[str] | None) -> None:
+        if self.ended:
+            return
         there = self._leading.there()
         self._leading.waiting.discard(self)
         self._leading.led.add(self)
@@ -149,6 +151,7 @@
         self.out = True
 
     def over(self) -> None:
+        self.ended = True
         self._leading.waiting.discard(self)
         self._leading.led.discard(self)
         if self._timer is not None and self._timer.active():
@@ -227,7 +230,7 @@
         self.look()
 
     def look(self) -> None:
-        if not self._known or self._putting:
+        if not self._known or self._putting or self.ended:
             return
         there = self._leading.there().keys() - self._away
         if self._hint.pin:
@@ -268,7 +271,7 @@
     def _put(self, told: tuple[bool, Pin | None], new: Pin, word: str, met: bool) -> None:
         settled, other = told
         self._putting, self._tries = False, self._tries + 1
-        if self not in self._leading.waiting and self not in self._leading.led:
+        if self.ended:
             return
         if not settled and other is not None and self._tries < TRIES:
             self._pin, self._lost = other, False
--- a/vanerelay/warming/planner.py
+++ b/vanerelay/warming/planner.py
@@ -30,6 +30,7 @@
 
 PATIENCE_S = 0.5  # for an answer of a manager
 LEARNS = 0.1  # of what an order took, each
+JUDGED = 50  # forecasts in a horizon that are looked at once they are over
 OUTCOMES = 2000  # that wait to be looked at
 LOUD = 60  # spans between two lines of the log
 
@@ -157,7 +158,8 @@
             self._base[group] = base
             self._spent[group, engine] += max(0.0, told.work / UNITS - told.reads * base)
         self._forecasts.update(now, counts)
-        self._forecasts.within(self._parts.horizon / UNITS)
+        if self._turns % max(1, self._parts.horizon // self._parts.span // JUDGED) == 0:
+            self._forecasts.within(self._parts.horizon / UNITS)
         if len(self._base) > 2 * self._parts.most:
             self._base = {group: one for group, one in self._base.items() if group in self._forecasts.rows}
             self._reading = {g: one for g, one in self._reading.items() if g in self._forecasts.rows}
