--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -423,6 +423,7 @@
         clock=lambda: 120,
         whole=True,
         session=lambda name, lasts: known,
+        load=lambda ref: known,
         put_session=lambda name, lasts, pin: succeed((True, None)),
     )
     leading = Leading(SimpleNamespace(reactor=clock), freshness, random.Random(1))
@@ -436,10 +437,11 @@
     return leading, guide, lead, known, clock
 
 
-def test_a_read_whose_client_left_before_its_keepers_answered_leaves_nothing():
-    leading, guide, lead, known, clock = guided("pin=s stale<=50ms", heard(*FRESH))
+@pytest.mark.parametrize("hint, answer", [("pin=s", Known(None, False)), ("after=x", (ONE, Point(1, 4)))])
+def test_a_read_whose_client_left_before_its_keepers_answered_leaves_nothing(hint, answer):
+    leading, guide, lead, known, clock = guided(f"{hint} stale<=50ms", heard(*FRESH))
     guide.over()
-    known.callback(Known(None, False))
+    known.callback(answer)
     assert lead.told == [] and not leading.waiting and not leading.led and not clock.getDelayedCalls()
 
 
