A copy that went back serves no further dispatch while its session moves elsewhere

Its copy e4 was restored at 10.0 s; the read of 10.161 s was answered from 1:1, refused, and sent to e4 once more 20 ms later, as the engines it may go to changed only once the keepers had answered; by then it stood for the source, whose answers are not looked at, and e4's second answer was handed on. Seen in the history row by row (two reads of one reference at e4). Change: what is left is left at once; a move after a refused answer goes out at once and counts once it is settled; whether an answer is looked at was fixed as it was sent.

--- a/vanerelay/freshness/guides.py
+++ b/vanerelay/freshness/guides.py
@@ -117,6 +117,7 @@
         self._leading, self._want = leading, want
         self.came, self.out, self.ended = leading.freshness.clock(), False, False
         self._timer: Any = None
+        self._among: frozenset[str] | None = None  # as the module was told last
 
     def begin(self, lead: Lead) -> None:
         self._lead = lead
@@ -138,7 +139,7 @@
     def _go(self, engines: frozenset[str] | None) -> None:
         if self.ended:
             return
-        there = self._leading.there()
+        there, self._among = self._leading.there(), engines
         self._leading.waiting.discard(self)
         self._leading.led.add(self)
         self._lead.among(
@@ -198,8 +199,10 @@
         self._lost, self._word, self._tries, self._putting = False, "", 0, False
         self._away = set[str]()  # engines that this batch goes to no more
         self._met = True
-        self._held = dict[str, Point | None]()  # what engines were known to hold as it was sent there
+        # What engines were known to hold as it was sent there, and whether that was what is asked.
+        self._held = dict[str, tuple[Point | None, bool]]()
         self._engine, self._point = "", None  # type: str, Point | None
+        self._answered = True  # whether what was answered holds what is asked
         self._known = False
 
     def begin(self, lead: Lead) -> None:
@@ -265,6 +268,9 @@
         new = Pin(engine, pin.version + 1 if pin is not None else 1, pin.seen if pin is not None else None)
         word = "lost" if self._lost or not choice.met else "moved" if pin is not None else "new"
         self._putting = True
+        if self.out:  # it goes on at once; its answer counts once the move is settled
+            self._met, self._word = choice.met, word
+            self._go(frozenset({engine}))
         put = self._leading.freshness.put_session(self._session, self._hint.lasts, new)
         put.addCallback(self._put, new, word, choice.met)
 
@@ -284,21 +290,19 @@
     def sent(self, engine: int) -> None:
         super().sent(engine)
         name = self._leading.name(engine)
-        self._held[name] = self._leading.freshness.positions.point(name, self._groups[0])
+        self._held[name] = self._leading.freshness.positions.point(name, self._groups[0]), self._met
 
     def accepts(self, engine: int, told: Mapping[str, str]) -> bool:
         """Whether the engine had what we took it to have, as it says itself: it may have gone back since."""
         freshness, name = self._leading.freshness, self._leading.name(engine)
         word = freshness.parts.at
+        known, met = self._held.get(name, (None, True))
+        if self._putting or name in self._away:
+            return False
         point = Point.read(told.get(word, "")) if word else None
-        self._engine, self._point = name, point
-        if (
-            word
-            and self._met
-            and not eligible.held(
-                point, self._held.get(name), self._needs, self._pin.seen if self._pin is not None else None
-            )
-        ):
+        self._engine, self._point, self._answered = name, point, met
+        seen = self._pin.seen if self._pin is not None else None
+        if word and met and not eligible.held(point, known, self._needs, seen):
             log.warning("a copy holds less than it had", engine=name, group=self._groups[0], at=str(point))
             freshness.positions.doubt(name, self._groups[0], freshness.clock())
             self._gone(name)
@@ -318,12 +322,14 @@
         """It goes elsewhere, where further dispatches are allowed."""
         self._away.add(name)
         self.look()
+        if self._among is not None and name in self._among:
+            self._go(self._among - {name})
 
     def fields(self) -> dict[str, str]:
         found = dict[str, str]()
         if self._point is not None:
             found["at"] = str(self._point)
-        if not self._met:
+        if not self._answered:
             freshness = self._leading.freshness
             until = eligible.bound(freshness.positions, self._engine, self._groups)
             age = None if until is None else max(0, freshness.clock() - until) // MILLISECOND
