Further dispatches of a hinted read go by what copies hold then, not as it came

Ruled out: the watch, which had told of the fall. Change: looked at anew before each further dispatch, and as one goes out.

--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -485,6 +485,20 @@
     assert guide.accepts(0, {"at": "1:5"}) and guide.fields()["pin"] == "lost"
 
 
+def test_a_further_dispatch_goes_by_what_copies_hold_then():
+    """Seen in a moment of fault: the source stood still, and the next dispatch went to a copy that had gone
+    back since the read came."""
+    positions = heard(*FRESH)
+    leading, guide, lead, _, _ = guided("stale<=25ms", positions)
+    guide.sent(0)
+    positions.change("a", ONE, Told(Point(1, 3), False))
+    positions.asked("a", 130)
+    guide.missed(0, Outcome.TIMED_OUT)
+    assert lead.told[-1] == frozenset({0})
+    guide.sent(1)  # as it may have been chosen a moment before
+    assert not guide.accepts(1, {"at": "1:3"}) and guide.accepts(0, {"at": "1:5"})
+
+
 def test_what_waits_in_vain_is_refused_at_its_goal_and_at_once_where_it_says_so():
     _, _, lead, _, clock = guided("stale<=0s", heard(*FRESH))
     clock.advance(0.9)
--- a/vanerelay/freshness/guides.py
+++ b/vanerelay/freshness/guides.py
@@ -199,8 +199,10 @@
         self._lost, self._word, self._tries, self._putting = False, "", 0, False
         self._away = set[str]()  # engines that this batch goes to no more
         self._met = True
-        # What engines were known to hold as it was sent there, and whether that was what is asked.
-        self._held = dict[str, tuple[Point | None, bool]]()
+        self._asked = self._needs  # by which those that may serve it were chosen
+        # What engines were known to hold as it was sent there, whether that stood for what is asked, and
+        # whether it was so still.
+        self._held = dict[str, tuple[Point | None, bool, bool]]()
         self._engine, self._point = "", None  # type: str, Point | None
         self._answered = True  # whether what was answered holds what is asked
         self._known = False
@@ -240,7 +242,7 @@
             self._look_at_session(there)
             return
         choice = eligible.choose(self._leading.freshness.positions, self._needs, self._hint.otherwise, there)
-        self._met = choice.met
+        self._met, self._asked = choice.met, self._needs
         self._take(choice, choice.engines)
 
     def _take(self, choice: Choice, engines: frozenset[str]) -> None:
@@ -253,8 +255,9 @@
         """Its copy as long as that can serve it; else another, once keepers know."""
         positions, pin = self._leading.freshness.positions, self._pin
         if pin is not None and not self._lost and pin.engine in there and self._leading.sound(pin.engine):
-            if eligible.serves(positions, pin.engine, eligible.floored(self._needs, pin.seen)):
-                self._word, self._met = self._word or "kept", True
+            floored = eligible.floored(self._needs, pin.seen)
+            if eligible.serves(positions, pin.engine, floored):
+                self._word, self._met, self._asked = self._word or "kept", True, floored
                 self._go(frozenset({pin.engine}))
                 return
         moves = pin is not None or self._lost
@@ -267,7 +270,7 @@
         engine = self._leading.draw(sound or sorted(choice.engines))
         new = Pin(engine, pin.version + 1 if pin is not None else 1, pin.seen if pin is not None else None)
         word = "lost" if self._lost or not choice.met else "moved" if pin is not None else "new"
-        self._putting = True
+        self._putting, self._asked = True, asked
         if self.out:  # it goes on at once; its answer counts once the move is settled
             self._met, self._word = choice.met, word
             self._go(frozenset({engine}))
@@ -290,14 +293,17 @@
     def sent(self, engine: int) -> None:
         super().sent(engine)
         name = self._leading.name(engine)
-        self._held[name] = self._leading.freshness.positions.point(name, self._groups[0]), self._met
+        positions = self._leading.freshness.positions
+        still = not self._met or eligible.serves(positions, name, self._asked)
+        self._held[name] = positions.point(name, self._groups[0]), self._met, still
 
     def accepts(self, engine: int, told: Mapping[str, str]) -> bool:
         """Whether the engine had what we took it to have, as it says itself: it may have gone back since."""
         freshness, name = self._leading.freshness, self._leading.name(engine)
         word = freshness.parts.at
-        known, met = self._held.get(name, (None, True))
-        if self._putting or name in self._away:
+        known, met, still = self._held.get(name, (None, True, False))
+        if self._putting or name in self._away or not still:
+            self.look()
             return False
         point = Point.read(told.get(word, "")) if word else None
         self._engine, self._point, self._answered = name, point, met
@@ -315,8 +321,11 @@
         return True
 
     def missed(self, engine: int, outcome: Outcome) -> None:
+        """Another dispatch may follow: among those that may serve it now, not as it came."""
         if self._hint.pin and outcome in AWAY:
             self._gone(self._leading.name(engine))
+        else:
+            self.look()
 
     def _gone(self, name: str) -> None:
         """It goes elsewhere, where further dispatches are allowed."""
