Engines that come and go without end are forgotten by the watch of copies

Found in the second reading: the time of each engine's last asking was kept for good. 20,000 are remembered, the longest not asked goes, which only makes its copies unknown; doubts on copies are let go of past 1,000 once settled.

--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -13,6 +13,7 @@
 from tests.helpers import World as Module
 from vanerelay.freshness import eligible, news, pins, spread, words
 from vanerelay.freshness import parts as fresh_parts
+from vanerelay.freshness import positions as positions_
 from vanerelay.freshness.eligible import choose, needs
 from vanerelay.freshness.guides import Leading
 from vanerelay.freshness.hints import BadHint, Else, Hint, read
@@ -139,6 +140,16 @@
     assert found.point(S, ONE) is not None
 
 
+def test_engines_that_come_and_go_without_end_are_forgotten(monkeypatch):
+    monkeypatch.setattr(positions_, "ENGINES", 10)
+    found = Positions()
+    for number in range(100):
+        found.asked(f"e{number}", number)
+        found.asked("steady", number)
+    found.asked("steady", 5)
+    assert len(found._asked) == 10 and found.asked_at("steady") == 99 and found.asked_at("e1") == -1
+
+
 # Who may serve.
 
 FRESH = [(100, S, 1, 5, True), (100, "a", 1, 5, False), (100, "b", 1, 4, False), (90, "d", 1, 4, False)]
--- a/vanerelay/freshness/positions.py
+++ b/vanerelay/freshness/positions.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass, field
 
 MARKS = 16  # past positions of a source that are remembered with the last time that it was there
+ENGINES = 20_000  # whose last asking is remembered
+DOUBTS = 1_000  # past which those that are settled are let go of
 MOST = 400_000  # rows that are held; what comes past it is not known, and so not fresh
 POINT = re.compile(r"([0-9]{1,15}):([0-9]{1,15})")
 
@@ -118,13 +120,15 @@
 
     def asked(self, engine: str, at: int) -> None:
         """All rows of the engine are as they were at some time after `at`."""
-        if at > self._asked.get(engine, -1):
-            self._asked[engine] = at
+        self._asked[engine] = max(at, self._asked.pop(engine, -1))
+        while len(self._asked) > ENGINES:  # engines come and go without end: the longest not asked goes
+            del self._asked[next(iter(self._asked))]
 
     def doubt(self, engine: str, group: int, now: int) -> None:
         """A copy was seen to hold less than it had: it counts for nothing until it was asked again."""
+        self._doubts.pop((engine, group), None)
         self._doubts[engine, group] = now
-        if len(self._doubts) > MARKS * MARKS:
+        if len(self._doubts) > DOUBTS:
             self._doubts = {key: at for key, at in self._doubts.items() if self._asked.get(key[0], -1) <= at}
 
     # What is known.
