Write a length in a test's bytes so that joined strings keep it

The formatter joins neighbouring literals, and an octal escape would have taken the digits that follow it.

--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -102,7 +102,7 @@
 
 def test_an_answer_is_laid_out_as_the_page_says():
     assert frames.answer(frames.ANSWER, 7, 1, {"cooldown": "250"}, b"b") == (
-        b"\0\0\0\x16" b"\4" b"\0\0\0\7" b"\1" b"\1" b"\x08cooldown" b"\0\3" b"250" b"b")
+        b"\0\0\0\x16" b"\4" b"\0\0\0\7" b"\1" b"\1" b"\x08cooldown" b"\0\x03" b"250" b"b")
 
 
 # Engines.
