Settings and results of attempts reach the decision module as typed values

They are GatewaySettings and AttemptResult now; no decision changes. The tests of the module, the adapter and the drivers pass.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,10 +24,12 @@
     SECOND,
     Allowances,
     Arrival,
+    AttemptResult,
     ColdStart,
     Effect,
     EngineEntry,
     EngineState,
+    GatewaySettings,
     MachineKind,
     Outcome,
     Place,
@@ -55,10 +57,10 @@
         self.now, self.calls, self.timers, self.made = 1000 * SECOND, [], [], 0
         self.group = dataclasses.replace(GROUP, **group)
         other = dataclasses.replace(GROUP, threads=4)
-        self.gateway = Gateway(
-            self, 7, [self.group, other], [MachineKind(16, 32000.0)] * 2, Place(number, gateways, 0),
-            dataclasses.replace(ALLOWED, **(allowed or {})), COLD, ration or RationTerms(0, 0, 0.0), pause,
-            50)
+        allowances = dataclasses.replace(ALLOWED, **(allowed or {}))
+        self.gateway = Gateway(self, 7, GatewaySettings(
+            [self.group, other], [MachineKind(16, 32000.0)] * 2, Place(number, gateways, 0), allowances, COLD,
+            ration or RationTerms(0, 0, 0.0), pause, 50))
         self.entries = [entry(i) for i in range(engines)]
         self.gateway.listed(self.entries, True)
 
@@ -70,8 +72,8 @@
 
     def end(self, batch: Batch, outcome: Outcome, memory: float = 400.0, lasted: int = 1500) -> None:
         number = max(i for i, send in enumerate(batch.sends) if send.out)
-        batch.ended(number, outcome, lasted, outcome is Outcome.RETURNED,
-                    1000 if outcome is Outcome.RETURNED else 0, memory, None)
+        returned = outcome is Outcome.RETURNED
+        batch.ended(number, AttemptResult(outcome, lasted, 1000 if returned else 0, memory), returned)
 
     def run(self, span: int) -> None:
         until = self.now + span
--- a/tests/test_asked.py
+++ b/tests/test_asked.py
@@ -6,7 +6,7 @@
 from tests.helpers import World
 from vanerelay import terms
 from vanerelay.decide import BEAT, Health
-from vanerelay.interface import SECOND, LoadReport, NoteKind, Outcome
+from vanerelay.interface import SECOND, AttemptResult, LoadReport, NoteKind, Outcome
 
 ASKS = {"probes": True, "asks": True}
 NOTES = {"notes_every": SECOND // 2}
@@ -70,7 +70,7 @@
 def test_a_lost_answer_holds_nothing_and_many_leave_time_for_another_dispatch():
     world = World(engines=1, allowed=NOTES, late_utility=0.5, goal=2 * SECOND, goal_stretch=0.0)
     for cost in [500, 4000] * 20:
-        world.take(cost=0, memory=10.0).ended(0, Outcome.RETURNED, cost, True, cost, 10.0, None)
+        world.take(cost=0, memory=10.0).ended(0, AttemptResult(Outcome.RETURNED, cost, cost, 10.0), True)
     lost = [world.take(cost=0, memory=10.0) for _ in range(20)]
     assert world.did("dispatch")[-1][2] > 5 * SECOND  # nothing was lost so far: until the limit
     ledger, held = world.gateway._engines[0].ledger, world.gateway.pool.running
@@ -103,7 +103,7 @@
     world = World(engines=1, goal=2 * SECOND, goal_stretch=0.0)
     for cost in costs:
         batch = world.take(cost=0, memory=10.0)
-        batch.ended(0, Outcome.RETURNED, cost, True, cost, 10.0, None)
+        batch.ended(0, AttemptResult(Outcome.RETURNED, cost, cost, 10.0), True)
     world.take(cost=0, memory=10.0)
     assert (world.did("dispatch")[-1][2] < 2 * SECOND) is early
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -10,7 +10,7 @@
 from vanerelay.decide import Door, Ledger, Peaks, Ramp, Ration
 from vanerelay.holding import conditions
 from vanerelay.interface import (
-    SECOND, Bounds, ColdStart, Effect, EngineState, LoadReport, NoteKind, Outcome, Place, RationTerms, Scope,
+    SECOND, AttemptResult, Bounds, ColdStart, Effect, EngineState, LoadReport, NoteKind, Outcome, Place, RationTerms, Scope,
 )
 from vanerelay.measure import Ring
 
@@ -345,7 +345,7 @@
                 assert world.now <= ends[batch.arrival.index] or not send.out
                 if send.out and any(d[0] == batch.arrival.index and send.sent + d[2] <= world.now
                                     for d in world.did("dispatch")):
-                    batch.ended(number, O.TIMED_OUT, 1, False, 0, 0.0, None)
+                    batch.ended(number, AttemptResult(O.TIMED_OUT, 1), False)
         for name in ("push_back", "error"):
             for call in world.did(name):
                 answered.setdefault(call[0], world.now)
@@ -377,7 +377,7 @@
         batch = world.take()
         engine = batch.sends[0].engine.entry.engine
         bad = count % 3 == 0 or engine < sick
-        batch.ended(0, outcome if bad else O.RETURNED, 100, True, 0, 0.0, None)
+        batch.ended(0, AttemptResult(outcome if bad else O.RETURNED, 100), True)
     levels = [engine.health.level for _, engine in sorted(world.gateway._engines.items())]
     assert min(levels[sick:]) > 0.5 and max(levels[:sick], default=0.0) < 0.3
 
@@ -438,7 +438,7 @@
         sent += 1 if bad else 0
         report = LoadReport(running=0.0 if bad else 20.0)
         outcome = O.ERRORED if bad and count % 10 < share * 10 else O.RETURNED
-        batch.ended(0, outcome, 50 if bad else 1500, True, 0, 0.0, report)
+        batch.ended(0, AttemptResult(outcome, 50 if bad else 1500, report=report), True)
     assert sent <= most * 600
 
 
@@ -550,7 +550,8 @@
     def go(count):
         for _ in range(count):
             batch = world.take()
-            batch.ended(0, Outcome.RETURNED, 1500, True, 1000, 400.0, LoadReport(cores_busy=0.05))
+            result = AttemptResult(Outcome.RETURNED, 1500, 1000, 400.0, LoadReport(cores_busy=0.05))
+            batch.ended(0, result, True)
             world.now += 10
         return [engine for _, engine, _ in world.did("dispatch")[-count:]]
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -8,7 +8,8 @@
 
 from vanerelay import checks
 from vanerelay.decide import Gateway, Peaks
-from vanerelay.interface import SECOND, ColdStart, MachineKind, NoteKind, Outcome, RationTerms
+from vanerelay.interface import (
+    SECOND, AttemptResult, ColdStart, GatewaySettings, MachineKind, NoteKind, Outcome, RationTerms)
 
 NOTES, LOOK = {"cancel": True, "notes_every": SECOND // 2}, SERVICES["classes"][0]
 
@@ -70,8 +71,9 @@
 def switch(world: World, memory: float = 32000.0, **group) -> Gateway:
     """Has another gateway take over in this world, under other settings; the one before it."""
     old, groups = world.gateway, [dataclasses.replace(world.group, **group), GROUP]
-    world.gateway = Gateway(world, 7, groups, [MachineKind(16, memory)], old._place, ALLOWED,
-                            ColdStart(0.3, 10 * SECOND, 2.0, SECOND), RationTerms(0, 0, 0.0), SECOND, 50)
+    cold = ColdStart(0.3, 10 * SECOND, 2.0, SECOND)
+    world.gateway = Gateway(world, 7, GatewaySettings(
+        groups, [MachineKind(16, memory)], old._place, ALLOWED, cold, RationTerms(0, 0, 0.0), SECOND, 50))
     world.gateway.succeed(old)
     return old
 
@@ -108,7 +110,7 @@
         assert sorted(gateway._engines) == known and not gateway._engines[0].ramp.allows(world.now, 1)
         assert gateway._engines[0].ramp is old._engines[0].ramp
     for batch in first:
-        batch.ended(0, Outcome.RESET, 1, True, 0, 0.0, None)
+        batch.ended(0, AttemptResult(Outcome.RESET, 1), True)
     second.append(world.take(key=9, memory=10.0))
     for span, sends in ((SECOND - 100, 0), (300, 1)):
         world.run(span)
--- a/vanerelay/adapter/instance.py
+++ b/vanerelay/adapter/instance.py
@@ -10,7 +10,7 @@
 from vanerelay.adapter import wire
 from vanerelay.decide import Gateway
 from vanerelay.holding import Held, Holding, Names
-from vanerelay.interface import Arrival, NoteKind
+from vanerelay.interface import Arrival, AttemptResult, NoteKind
 
 Orders = list[dict[str, Any]]
 
@@ -106,7 +106,8 @@
         lasted = terms.down(e.get("durationUs", 0))
         held.out -= 1
         held.ended = held.ended or over
-        self._call(held.batch.ended, int(e.get("seqNo", 0)), outcome, lasted, over, work, memory, report)
+        result = AttemptResult(outcome, lasted, work, memory, report)
+        self._call(held.batch.ended, int(e.get("seqNo", 0)), result, over)
         self._forget(request, held)
 
     def _roster(self, e: dict[str, Any], pages: dict[int, list[dict[str, Any]]]) -> None:
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable, Iterator, Sequence
 from functools import cached_property
 
-from vanerelay.interface import (
-    MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Allowances, Arrival, Bounds, ColdStart, Effect,
-    EngineEntry, EngineState, LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope,
-    ServiceGroup, Shortage, Transport)
+from vanerelay.interface import MILLISECOND, NEVER_RAN, SECOND, SPOKEN, UNSTOPPED, Arrival, AttemptResult
+from vanerelay.interface import Bounds, ColdStart, Effect, EngineEntry, EngineState, GatewaySettings
+from vanerelay.interface import LoadReport, MachineKind, NoteKind, Outcome, Place, RationTerms, Scope
+from vanerelay.interface import ServiceGroup, Shortage, Transport
 from vanerelay.measure import Estimate, Ring, quantile, rank_among, scatter
 from vanerelay.state import Dispatch, Order
 
@@ -130,8 +130,8 @@
         return now - self.began >= self._cold.warm_after + self._cold.window
 
     def allows(self, now: int, work: float, kept: float = 1.0) -> bool:  # kept: from proxies
-        return self.warm(now) or self.mine and self.sent.total(now, 0) + work <= kept * self._budget * (
-            self.share(max(self.began, now - self._cold.window)))
+        budget = kept * self._budget * self.share(max(self.began, now - self._cold.window))
+        return self.warm(now) or self.mine and self.sent.total(now, 0) + work <= budget
 
 
 class Health:
@@ -364,16 +364,16 @@
         cell = ran[0].cell if scope is Scope.CELL else None
         return Bounds(locations, self.group.kinds, cell, self.arrival.among)
 
-    def ended(self, dispatch: int, outcome: Outcome, lasted: int, over: bool, work: int, memory: float,
-              report: LoadReport | None) -> None:
+    def ended(self, dispatch: int, result: AttemptResult, over: bool) -> None:
         gateway, send, now = self.gateway, self.sends[dispatch], self.gateway.transport.now
+        outcome, lasted = result.outcome, result.duration
         send.out, send.ran, self.over = False, outcome not in NEVER_RAN, self.over or over
         gateway.release(self, send)
         del gateway.out[id(send)]
         if outcome is Outcome.RETURNED:
-            gateway.learn(self, send.engine, work, memory, lasted)
+            gateway.learn(self, send.engine, result.work, result.memory, lasted)
         if outcome in SPOKEN:
-            gateway.heard(send.engine, report)
+            gateway.heard(send.engine, result.report)
         send.engine.health.ended(now, id(send), outcome, lasted)
         if outcome in UNSTOPPED and self.key is not None:
             gateway.turns.unsure(now, self.key)
@@ -410,15 +410,16 @@
     MANY, LOSSY = 81, 0.12  # gateways that look their engines over half as often; answers that never came
     FEW, SIGN, AWAY, SPAN = 8, 200 * MILLISECOND, SECOND, 10 * SECOND  # departure: a few tell what comes
 
-    def __init__(self, transport: Transport, seed: int, groups: Sequence[ServiceGroup],
-                 kinds: Sequence[MachineKind], place: Place, allowed: Allowances, cold: ColdStart,
-                 ration: RationTerms, order_pause: int, tick: int) -> None:
-        self.transport, self._groups, self._kinds, self._place = transport, groups, kinds, place
-        self.allowed, self._cold, self._margin = allowed, cold, 2 * tick + BEAT + 1  # before a time limit
+    def __init__(self, transport: Transport, seed: int, settings: GatewaySettings) -> None:
+        groups, place, allowed = settings.groups, settings.place, settings.allowed
+        self.transport, self._groups, self._kinds, self._place = transport, groups, settings.kinds, place
+        self.allowed, self._cold = allowed, settings.cold
+        self._margin = 2 * settings.tick + BEAT + 1  # before a time limit
         self.waits = any(group.waits_for_loads for group in groups)
         self._peaks = Peaks(len(groups), allowed.shortage is Shortage.PAGE)
-        self.pace, self._ration = Pace(groups), Ration(ration)
-        self.turns, self._door, self.line = Turns(order_pause), Door(min(g.goal for g in groups)), Line()
+        self.pace, self._ration = Pace(groups), Ration(settings.ration)
+        self.turns, self.line = Turns(settings.order_pause), Line()
+        self._door = Door(min(group.goal for group in groups))
         self.order, self._looked_after = Order[Engine](), dict[int, Engine]()  # as preferred; unsound
         self._picker = Picker(random.Random(seed), place.location, self.waits, self.order.names)
         self._limits, self.out = list[tuple[int, Batch]](), dict[int, tuple[Batch, int]]()  # all that are out
@@ -443,8 +444,8 @@
                 kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
                 large = max(group.goal * group.threads for group in self._groups) / 8
                 ramp = Ramp(self._cold, entry.name, kind.cores, self._place, large)
-                self._engines[entry.engine] = self._off[entry.engine] = Engine(
-                    entry, kind, ramp, self.allowed.asks)
+                engine = Engine(entry, kind, ramp, self.allowed.asks)
+                self._engines[entry.engine] = self._off[entry.engine] = engine
             engine = self._engines[entry.engine]
             if entry.name in self._before:
                 engine.inherit(self.transport.now, self._before.pop(entry.name))
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -6,7 +6,7 @@
 """
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Annotated, Protocol
@@ -239,6 +239,39 @@
     spare: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """What the decision module is told at its start.
+
+    `order_pause`: how long a key rests after an attempt that may still run. `tick`: the shortest time between
+    two events that the caller hands on.
+    """
+
+    groups: Sequence[ServiceGroup]
+    kinds: Sequence[MachineKind]
+    place: Place
+    allowed: Allowances
+    cold: ColdStart
+    ration: RationTerms
+    order_pause: int
+    tick: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended.
+
+    `work`, `memory` and `report` are what its engine told of the work done, the memory needed and its own
+    load; 0 or None where it told nothing.
+    """
+
+    outcome: Outcome
+    duration: int
+    work: int = 0
+    memory: float = 0.0
+    report: LoadReport | None = None
+
+
 class Transport(Protocol):
     """All that the decision module can do to the world. Calls take effect in the order made."""
 
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -14,7 +14,7 @@
 from vanerelay import terms
 from vanerelay.decide import Gateway
 from vanerelay.holding import Held, Holding, Names
-from vanerelay.interface import Arrival, EngineState, Outcome
+from vanerelay.interface import Arrival, AttemptResult, EngineState, Outcome
 from vanerelay.net import ends, feed, frames
 from vanerelay.net.clients import ClientConnection, Taken
 from vanerelay.net.clock import UNITS, Clock
@@ -354,8 +354,8 @@
         if held.batch is not None:
             work, memory = _told(end.told, "elapsed"), _told(end.told, "rss")
             report = terms.load_report(self._reported, _report(end.told.get("l", "")))
-            self._call(held, held.batch.ended, number, outcome, self._clock.now() - sent, held.ended,
-                       round(work * 10), memory, report)
+            result = AttemptResult(outcome, self._clock.now() - sent, round(work * 10), memory, report)
+            self._call(held, held.batch.ended, number, result, held.ended)
         self._settle(held)
         self._guard()
 
--- a/vanerelay/terms.py
+++ b/vanerelay/terms.py
@@ -9,6 +9,7 @@
     Allowances,
     ColdStart,
     Effect,
+    GatewaySettings,
     LoadReport,
     MachineKind,
     Place,
@@ -150,7 +151,14 @@
     """The decision module with its own few settings each, whichever wire brought them. `asks`: a probe
     on this wire brings a report of load; on sockets `UP` tells nothing of it."""
     allowed = allowances(profile)
-    return Gateway(
-        transport, seed, service_groups(profile), machine_kinds(profile), place(profile),
-        dataclasses.replace(allowed, asks=asks and allowed.asks),
-        cold_start(profile), ration_terms(profile), order_pause(profile), up(profile.get("tickUs") or 0))
+    settings = GatewaySettings(
+        groups=service_groups(profile),
+        kinds=machine_kinds(profile),
+        place=place(profile),
+        allowed=dataclasses.replace(allowed, asks=asks and allowed.asks),
+        cold=cold_start(profile),
+        ration=ration_terms(profile),
+        order_pause=order_pause(profile),
+        tick=up(profile.get("tickUs") or 0),
+    )
+    return Gateway(transport, seed, settings)
