--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """A transport that remembers, short ways to make a gateway and its batches, and stand-ins on sockets."""
+
 from __future__ import annotations
 
 import contextlib
@@ -42,33 +43,75 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 GROUP = ServiceGroup(
-    "g", SECOND, 2.0, 10 * SECOND, 1.0, 0.0, Effect.REPEATABLE, Scope.ALL, 5 * SECOND, False, None, None,
-    1, False, False)
+    "g",
+    SECOND,
+    2.0,
+    10 * SECOND,
+    1.0,
+    0.0,
+    Effect.REPEATABLE,
+    Scope.ALL,
+    5 * SECOND,
+    False,
+    None,
+    None,
+    1,
+    False,
+    False,
+)
 ALLOWED = Allowances(
-    3, False, False, False, False, True, SECOND, True, 0.4, False, True, 0, Shortage.WAIT, False, False)
+    3, False, False, False, False, True, SECOND, True, 0.4, False, True, 0, Shortage.WAIT, False, False
+)
 COLD = ColdStart(0.3, 10 * SECOND, 3.0, 2 * SECOND)
 
 
 class World:
     """The Transport of the tests; `calls` lists what the module did."""
 
-    def __init__(self, engines: int = 3, gateways: int = 1, ration: RationTerms | None = None, pause: int = 0,
-                 allowed: dict[str, Any] | None = None, number: int = 0, **group: Any) -> None:
+    def __init__(
+        self,
+        engines: int = 3,
+        gateways: int = 1,
+        ration: RationTerms | None = None,
+        pause: int = 0,
+        allowed: dict[str, Any] | None = None,
+        number: int = 0,
+        **group: Any,
+    ) -> None:
         self.now, self.calls, self.timers, self.made = 1000 * SECOND, [], [], 0
         self.group = dataclasses.replace(GROUP, **group)
         other = dataclasses.replace(GROUP, threads=4)
         allowances = dataclasses.replace(ALLOWED, **(allowed or {}))
-        self.gateway = Gateway(self, 7, GatewaySettings(
-            [self.group, other], [MachineKind(16, 32000.0)] * 2, Place(number, gateways, 0), allowances, COLD,
-            ration or RationTerms(0, 0, 0.0), pause, 50))
+        self.gateway = Gateway(
+            self,
+            7,
+            GatewaySettings(
+                [self.group, other],
+                [MachineKind(16, 32000.0)] * 2,
+                Place(number, gateways, 0),
+                allowances,
+                COLD,
+                ration or RationTerms(0, 0, 0.0),
+                pause,
+                50,
+            ),
+        )
         self.entries = [entry(i) for i in range(engines)]
         self.gateway.listed(self.entries, True)
 
-    def take(self, cost: int = 1000, memory: float = 500.0, limit: int = 10 * SECOND, group: int = 0,
-             key: int | None = None, tables: int = 0) -> Batch:
+    def take(
+        self,
+        cost: int = 1000,
+        memory: float = 500.0,
+        limit: int = 10 * SECOND,
+        group: int = 0,
+        key: int | None = None,
+        tables: int = 0,
+    ) -> Batch:
         self.made += 1
         return self.gateway.take(
-            Arrival(self.made, group, 0, key, self.now + limit, cost, memory, tables, False))
+            Arrival(self.made, group, 0, key, self.now + limit, cost, memory, tables, False)
+        )
 
     def end(self, batch: Batch, outcome: Outcome, memory: float = 400.0, lasted: int = 1500) -> None:
         number = max(i for i, send in enumerate(batch.sends) if send.out)
@@ -150,13 +193,15 @@
                     page = int(self.commands[-1][2])
                     self.say(connection, ident, "ROWS", f"index={page}", self.pages[ident][page])
 
-    def say(self, connection: socket.socket, ident: str, word: str, told: str = "-",
-            body: bytes = b"") -> None:
+    def say(
+        self, connection: socket.socket, ident: str, word: str, told: str = "-", body: bytes = b""
+    ) -> None:
         parts = [ident.encode(), word.encode(), told.encode(), body]
         connection.sendall(b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts))
 
-    def returns(self, connection: socket.socket, ident: str,
-                pages: Sequence[bytes] = (b"a\tb\tc\n",)) -> None:
+    def returns(
+        self, connection: socket.socket, ident: str, pages: Sequence[bytes] = (b"a\tb\tc\n",)
+    ) -> None:
         self.pages[ident] = list(pages)
         told = f"total={len(pages)},elapsed=5.5,rss=40,l=queue:0;x0:0.1;x1:0.1"
         self.say(connection, ident, "OK", told, pages[0])
@@ -226,8 +271,9 @@
     def tell(self, *rows: dict[str, Any], complete: bool = False) -> int:
         with self.news:
             number = len(self.events) + 1
-            self.events.append({"n": number, "members": {
-                "revision": number, "complete": complete, "members": list(rows)}})
+            self.events.append(
+                {"n": number, "members": {"revision": number, "complete": complete, "members": list(rows)}}
+            )
             self.news.notify_all()
         return number
 
@@ -236,11 +282,20 @@
         until(lambda: number in self.asked, f"a poll past event {number}")
 
 
-def member(engine: Engine | int, name: str = "s-1", phase: str = "SERVING",
-           started: int = 0) -> dict[str, Any]:
+def member(
+    engine: Engine | int, name: str = "s-1", phase: str = "SERVING", started: int = 0
+) -> dict[str, Any]:
     port = engine if isinstance(engine, int) else engine.port
-    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "here", "flavor": "k", "cell": 0,
-            "phase": phase, "size": 1, "up_since_ms": started}
+    return {
+        "id": name,
+        "host_port": f"127.0.0.1:{port}",
+        "locality": "here",
+        "flavor": "k",
+        "cell": 0,
+        "phase": phase,
+        "size": 1,
+        "up_since_ms": started,
+    }
 
 
 class Client:
@@ -253,12 +308,27 @@
     def send(self, data: bytes) -> None:
         self.socket.sendall(data)
 
-    def ask(self, stream: int, name: str, service: str = "look", allow: str = "20000", body: str = "SELECT 1",
-            **other: str) -> None:
-        told = {"service": service, "ref": ref(name), "allow": allow, "project": "acme", "effort": "50",
-                "space": "40", **other}
-        fields = b"".join(bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode()
-                          for n, v in told.items())
+    def ask(
+        self,
+        stream: int,
+        name: str,
+        service: str = "look",
+        allow: str = "20000",
+        body: str = "SELECT 1",
+        **other: str,
+    ) -> None:
+        told = {
+            "service": service,
+            "ref": ref(name),
+            "allow": allow,
+            "project": "acme",
+            "effort": "50",
+            "space": "40",
+            **other,
+        }
+        fields = b"".join(
+            bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode() for n, v in told.items()
+        )
         payload = bytes((len(told),)) + fields + body.encode(errors="surrogateescape")
         self.send(struct.pack(">IBI", 5 + len(payload), 2, stream) + payload)
 
@@ -279,8 +349,8 @@
         fields, at = {}, 2
         for _ in range(payload[1]):
             end = at + 1 + payload[at]
-            size = int.from_bytes(payload[end:end + 2], "big")
-            fields[payload[at + 1:end].decode()] = payload[end + 2:end + 2 + size].decode()
+            size = int.from_bytes(payload[end : end + 2], "big")
+            fields[payload[at + 1 : end].decode()] = payload[end + 2 : end + 2 + size].decode()
             at = end + 2 + size
         return stream, payload[0], fields, payload[at:]
 
@@ -288,15 +358,40 @@
 SERVICES = {
     "classes": [
         {"name": "look", "aimUs": 2000000, "deadlineUs": 20000000, "importance": 1, "semantics": "pure"},
-        {"name": "load", "aimUs": 2000000, "deadlineUs": 20000000, "importance": 1,
-         "semantics": "side_effect"},
+        {
+            "name": "load",
+            "aimUs": 2000000,
+            "deadlineUs": 20000000,
+            "importance": 1,
+            "semantics": "side_effect",
+        },
     ],
     "orgs": [{"name": "acme", "share": 1.0, "quotaPerS": 1000}],
-    "kinds": ["k"], "failureDomains": ["here"], "az": 0, "groupSize": 1, "position": 0, "tickUs": 5000,
-    "familyInfo": {"memoryByKindMb": [32768.0], "cpuOfKind": [16], "parallelism": [1, 1], "grantCap": 0.4,
-                   "takesGrants": True, "reportX0": "share of memory granted", "bills": True},
-    "limits": {"maxAttempts": 3, "maxOpen": 1000, "multiplex": 32, "dialTimeoutUs": 250000,
-               "connIdleUs": 30000000, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 2000000},
+    "kinds": ["k"],
+    "failureDomains": ["here"],
+    "az": 0,
+    "groupSize": 1,
+    "position": 0,
+    "tickUs": 5000,
+    "familyInfo": {
+        "memoryByKindMb": [32768.0],
+        "cpuOfKind": [16],
+        "parallelism": [1, 1],
+        "grantCap": 0.4,
+        "takesGrants": True,
+        "reportX0": "share of memory granted",
+        "bills": True,
+    },
+    "limits": {
+        "maxAttempts": 3,
+        "maxOpen": 1000,
+        "multiplex": 32,
+        "dialTimeoutUs": 250000,
+        "connIdleUs": 30000000,
+        "cancel": True,
+        "retryAfter": True,
+        "maxRetryAfterUs": 2000000,
+    },
     "safety": {"coldFrom": 0.3, "coldUs": 1000, "fallMultiple": 4.0, "overloadForUs": 2000000},
 }
 
@@ -311,19 +406,29 @@
 class Node:
     """The program, started as operators start it."""
 
-    def __init__(self, folder: Path, feed: Feed, *rows: dict[str, Any], limits: dict[str, Any] | None = None,
-                 options: str | None = None, **limits_told: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        feed: Feed,
+        *rows: dict[str, Any],
+        limits: dict[str, Any] | None = None,
+        options: str | None = None,
+        **limits_told: Any,
+    ) -> None:
         """`options`: the operators' file, as HCL."""
         self.listen = free_address()
         host, _, port = self.listen.rpartition(":")
         self.address, self.feed = (host, int(port)), feed
         feed.tell(*rows, complete=True)
         told = {
-            "name": "n0", "listen": self.listen, "seed": "8c1f30d27a5be964",
+            "name": "n0",
+            "listen": self.listen,
+            "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **limits_told},
             "feed": f"127.0.0.1:{feed.server.server_address[1]}",
             "known": {"n": len(feed.events), "events": list(feed.events)},
-            "settings": {**SERVICES, "limits": {**SERVICES["limits"], **(limits or {})}}}
+            "settings": {**SERVICES, "limits": {**SERVICES["limits"], **(limits or {})}},
+        }
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(told))
         self.log, self.words = folder / "log", list[str]()
@@ -351,5 +456,9 @@
 def start(config: Path, log: Path, *words: str, **environment: str) -> subprocess.Popen[bytes]:
     with log.open("wb") as out:
         return subprocess.Popen(
-            [sys.executable, "-m", "vanerelay", "serve", *words], cwd=ROOT, stdout=out, stderr=out,
-            env={**os.environ, "LB_CONFIG": str(config), **environment})
+            [sys.executable, "-m", "vanerelay", "serve", *words],
+            cwd=ROOT,
+            stdout=out,
+            stderr=out,
+            env={**os.environ, "LB_CONFIG": str(config), **environment},
+        )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,4 +1,5 @@
 """The simulator's wire, played in a few scripted lines."""
+
 from __future__ import annotations
 
 import io
@@ -11,11 +12,24 @@
 from vanerelay.terms import down, up
 
 PROFILE = {
-    "az": 0, "groupSize": 2, "position": 0, "tickUs": 5000, "kinds": ["k"], "unknown": {"x": 1},
+    "az": 0,
+    "groupSize": 2,
+    "position": 0,
+    "tickUs": 5000,
+    "kinds": ["k"],
+    "unknown": {"x": 1},
     "classes": [{"aimUs": 1500000, "deadlineUs": 7500000, "semantics": "pure", "importance": 1, "name": "c"}],
-    "familyInfo": {"memoryByKindMb": [32768.0], "cpuOfKind": [16], "parallelism": [1], "grantCap": 0.4,
-                   "takesGrants": True, "reportX0": "share of memory granted", "bills": True},
-    "limits": {"maxAttempts": 3}, "safety": {"coldFrom": 0.3, "coldUs": 1000, "fallMultiple": 4.0},
+    "familyInfo": {
+        "memoryByKindMb": [32768.0],
+        "cpuOfKind": [16],
+        "parallelism": [1],
+        "grantCap": 0.4,
+        "takesGrants": True,
+        "reportX0": "share of memory granted",
+        "bills": True,
+    },
+    "limits": {"maxAttempts": 3},
+    "safety": {"coldFrom": 0.3, "coldUs": 1000, "fallMultiple": 4.0},
 }
 T0 = 8_000_000_000
 
@@ -30,13 +44,24 @@
 
 
 def ingress(request, manager=0, limit=T0 + 5_000_000):
-    return event("ingress", manager, requestId=request, lane=0, clientDeadlineUs=limit, guessUs=200000,
-                 memMb=400, tableGroup=1, bits=1)
+    return event(
+        "ingress",
+        manager,
+        requestId=request,
+        lane=0,
+        clientDeadlineUs=limit,
+        guessUs=200000,
+        memMb=400,
+        tableGroup=1,
+        bits=1,
+    )
 
 
 def started(manager=0, page=0):
-    return [event("up", manager, initSeed=7, profileData=PROFILE),
-            event("rosterChange", manager, form="cached", page=page, rev=1)]
+    return [
+        event("up", manager, initSeed=7, profileData=PROFILE),
+        event("rosterChange", manager, form="cached", page=page, rev=1),
+    ]
 
 
 def play(host, *events, at=T0):
@@ -47,9 +72,9 @@
     return [(o["manager"], o["requestId"], o["engine"]) for o in orders if o["verb"] == "deliver"]
 
 
-@pytest.mark.parametrize(("turn", "micros", "units"), [
-    (down, 199, 1), (down, 200, 2), (up, 199, 2), (up, 201, 3), (up, 0, 0),
-])
+@pytest.mark.parametrize(
+    ("turn", "micros", "units"), [(down, 199, 1), (down, 200, 2), (up, 199, 2), (up, 201, 3), (up, 0, 0)]
+)
 def test_units_round_to_the_safe_side(turn, micros, units):
     assert turn(micros) == units
 
@@ -63,8 +88,17 @@
     orders = play(host, census(0, "engine_a"), *started(), ingress("r-1"))
     assert [o["verb"] for o in orders if o["verb"] in ("equip", "deliver")] == ["equip", "deliver"]
     assert orders[-1]["capUs"] < 5_000_000 and sent(orders) == [(0, "r-1", "engine_a")]
-    done = event("verdict", requestId="r-1", seqNo=0, engine="engine_a", status="GOOD", durationUs=1000,
-                 over=True, note=4096 * 200 + 50, telemetry={"x0": 0.4, "new_key": 3})
+    done = event(
+        "verdict",
+        requestId="r-1",
+        seqNo=0,
+        engine="engine_a",
+        status="GOOD",
+        durationUs=1000,
+        over=True,
+        note=4096 * 200 + 50,
+        telemetry={"x0": 0.4, "new_key": 3},
+    )
     play(host, done, at=T0 + 5000)
     late = event("notice", requestId="r-1", sort=1, engine="engine_a", x=0.5)
     play(host, event("left", requestId="r-1"), late, at=T0 + 10000)
@@ -73,14 +107,22 @@
 
 def test_a_page_is_read_at_its_place_and_used_again_in_one_message():
     host = Host()
-    orders = play(host, census(0, "engine_a"), *started(0), ingress("r-1"),
-                  census(0, "engine_b"), *started(1), ingress("r-2", 1))
+    orders = play(
+        host,
+        census(0, "engine_a"),
+        *started(0),
+        ingress("r-1"),
+        census(0, "engine_b"),
+        *started(1),
+        ingress("r-2", 1),
+    )
     assert sent(orders) == [(0, "r-1", "engine_a"), (1, "r-2", "engine_b")]
 
 
-@pytest.mark.parametrize(("form", "items", "target"), [
-    ("full", ["engine_b"], "engine_b"), ("delta", [], "engine_a"), ("failed", [], "engine_a"),
-])
+@pytest.mark.parametrize(
+    ("form", "items", "target"),
+    [("full", ["engine_b"], "engine_b"), ("delta", [], "engine_a"), ("failed", [], "engine_a")],
+)
 def test_list_changes(form, items, target):
     host = Host()
     play(host, census(0, "engine_a"), *started())
@@ -100,8 +142,15 @@
 def test_what_nobody_asked_for_is_read_and_dropped():
     host = Host()
     play(host, census(0, "engine_a"), *started())
-    assert play(host, event("fired", keyBack=999), event("fromPeer", neighbour=1, data="aGk="),
-                event("checkResult", engine="engine_a", status="GOOD", durationUs=10)) == []
+    assert (
+        play(
+            host,
+            event("fired", keyBack=999),
+            event("fromPeer", neighbour=1, data="aGk="),
+            event("checkResult", engine="engine_a", status="GOOD", durationUs=10),
+        )
+        == []
+    )
 
 
 def test_a_batch_given_up_in_the_line_is_let_go_of():
@@ -114,10 +163,17 @@
     assert not host._instances[0]._held and len(host._instances[0]._holding) == 0
 
 
-@pytest.mark.parametrize("line", [
-    "no json", "[]", "{}", '{"clockUs":1}', '{"clockUs":1,"input":[{"verb":"ingress","manager":5}]}',
-    '{"clockUs":1,"input":[{"verb":"what","manager":0}]}',
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "no json",
+        "[]",
+        "{}",
+        '{"clockUs":1}',
+        '{"clockUs":1,"input":[{"verb":"ingress","manager":5}]}',
+        '{"clockUs":1,"input":[{"verb":"what","manager":0}]}',
+    ],
+)
 def test_malformed_input_gets_one_plain_line(line, capsys):
     out = io.StringIO()
     assert main(io.StringIO('{"clockUs":0,"input":[]}\n' + line + "\n"), out) == 1
--- a/tests/test_asked.py
+++ b/tests/test_asked.py
@@ -1,4 +1,5 @@
 """Loads that are asked for, dispatches that wait or whose answers are lost, keys that get too much."""
+
 from __future__ import annotations
 
 import pytest
@@ -19,13 +20,15 @@
     for _ in range(4):
         world.take(memory=10.0)
         world.run(10)
-        for engine, in world.did("probe")[-1:]:
+        for (engine,) in world.did("probe")[-1:]:
             world.gateway.reported(engine, Outcome.RETURNED, LoadReport(cores_busy=0.1))
-    assert [engine for engine, in world.did("probe")] == [first[row] for row in probes]
+    assert [engine for (engine,) in world.did("probe")] == [first[row] for row in probes]
 
 
-@pytest.mark.parametrize(("busy", "outcome", "sent"), [
-    (0.0, Outcome.RETURNED, 3), (1.0, Outcome.RETURNED, 2), (None, Outcome.TIMED_OUT, 2)])
+@pytest.mark.parametrize(
+    ("busy", "outcome", "sent"),
+    [(0.0, Outcome.RETURNED, 3), (1.0, Outcome.RETURNED, 2), (None, Outcome.TIMED_OUT, 2)],
+)
 def test_what_a_probe_tells_is_lent_past_the_part_of_one_of_many(busy, outcome, sent):
     world = World(engines=2, gateways=40, allowed=ASKS, threads=1)
     for _ in range(2):
@@ -38,12 +41,14 @@
     for _ in range(8):  # the report is trusted by half, and the usual learned from the reports
         for engine in (0, 1):
             world.gateway.reported(
-                engine, outcome, None if busy is None else LoadReport(cores_busy=busy, memory_granted=busy))
+                engine, outcome, None if busy is None else LoadReport(cores_busy=busy, memory_granted=busy)
+            )
     assert len(world.did("dispatch")) == max(before, sent)
 
 
-@pytest.mark.parametrize(("cancel", "others_full", "called_off"), [
-    (True, False, True), (True, True, False), (False, False, False)])
+@pytest.mark.parametrize(
+    ("cancel", "others_full", "called_off"), [(True, False, True), (True, True, False), (False, False, False)]
+)
 def test_what_waits_for_memory_goes_where_an_engine_is_not_known_full(cancel, others_full, called_off):
     world = World(engines=2, allowed={"cancel": cancel, **NOTES})
     batch = world.take(memory=10.0)
@@ -56,8 +61,9 @@
     assert send.engine.others(world.now, 0.2) == 1.0
 
 
-@pytest.mark.parametrize(("kind", "value", "called_off"), [
-    (NoteKind.WAITING, 2.0, False), (NoteKind.PROGRESS, 0.1, True)])
+@pytest.mark.parametrize(
+    ("kind", "value", "called_off"), [(NoteKind.WAITING, 2.0, False), (NoteKind.PROGRESS, 0.1, True)]
+)
 def test_a_dispatch_that_waits_owes_no_notes(kind, value, called_off):
     world = World(engines=1, allowed={"cancel": True, **NOTES})
     world.gateway.notes = True
@@ -84,8 +90,10 @@
     assert world.did("dispatch")[-1][2] < 2 * SECOND
 
 
-@pytest.mark.parametrize(("costs", "given_up"), [
-    ([SECOND // 2] * 3, []), ([SECOND, SECOND, 6 * SECOND, SECOND], [2]), ([SECOND] * 5, [3, 4])])
+@pytest.mark.parametrize(
+    ("costs", "given_up"),
+    [([SECOND // 2] * 3, []), ([SECOND, SECOND, 6 * SECOND, SECOND], [2]), ([SECOND] * 5, [3, 4])],
+)
 def test_of_batches_of_one_key_the_longest_goes_where_not_all_end_in_time(costs, given_up):
     world = World(in_order=True, goal=5 * SECOND, goal_stretch=0.0, time_limit=30 * SECOND)
     batches = [world.take(cost=cost, memory=10.0, key=7, limit=30 * SECOND) for cost in costs]
@@ -120,11 +128,21 @@
     assert len(seen) == looks
 
 
-@pytest.mark.parametrize(("probes", "how", "columns", "asks"), [
-    (True, "pull", ["pending", "x0"], True), (True, "pull", ["pending"], False),
-    (True, "piggyback", ["cpu_share"], False), (False, "pull", ["cpu_share"], False)])
+@pytest.mark.parametrize(
+    ("probes", "how", "columns", "asks"),
+    [
+        (True, "pull", ["pending", "x0"], True),
+        (True, "pull", ["pending"], False),
+        (True, "piggyback", ["cpu_share"], False),
+        (False, "pull", ["cpu_share"], False),
+    ],
+)
 def test_loads_are_asked_for_where_only_probes_tell_them(probes, how, columns, asks):
-    allowed = terms.allowances({
-        "limits": {"probes": probes}, "report": {"how": how, "columns": columns},
-        "familyInfo": {"reportX0": "share of memory granted"}})
+    allowed = terms.allowances(
+        {
+            "limits": {"probes": probes},
+            "report": {"how": how, "columns": columns},
+            "familyInfo": {"reportX0": "share of memory granted"},
+        }
+    )
     assert allowed.asks is asks
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,4 +1,5 @@
 """Tables of cases against the decision module."""
+
 from __future__ import annotations
 
 import dataclasses
@@ -10,7 +11,18 @@
 from vanerelay.decide import Door, Ledger, Peaks, Ramp, Ration
 from vanerelay.holding import conditions
 from vanerelay.interface import (
-    SECOND, AttemptResult, Bounds, ColdStart, Effect, EngineState, LoadReport, NoteKind, Outcome, Place, RationTerms, Scope,
+    SECOND,
+    AttemptResult,
+    Bounds,
+    ColdStart,
+    Effect,
+    EngineState,
+    LoadReport,
+    NoteKind,
+    Outcome,
+    Place,
+    RationTerms,
+    Scope,
 )
 from vanerelay.measure import Ring
 
@@ -18,24 +30,28 @@
 BUSY = 13_000.0  # over a slice of a third, so that one fills an engine
 
 
-@pytest.mark.parametrize(("span", "at", "now", "whole", "short"), [
-    (100, 0, 0, 1, 1), (100, 0, 79, 1, 1), (100, 0, 100, 1, 0), (100, 0, 95, 1, 0), (100, 0, 110, 0, 0),
-])
+@pytest.mark.parametrize(
+    ("span", "at", "now", "whole", "short"),
+    [(100, 0, 0, 1, 1), (100, 0, 79, 1, 1), (100, 0, 100, 1, 0), (100, 0, 95, 1, 0), (100, 0, 110, 0, 0)],
+)
 def test_ring_never_forgets_early_nor_counts_late(span, at, now, whole, short):
     ring = Ring(span, 1)
     ring.add(at, 1)
     assert (ring.total(now, 0), ring.total(now, 0, short=True)) == (whole, short)
 
 
-@pytest.mark.parametrize(("runs", "told", "cap", "low", "high"), [
-    ([], 1000.0, 9e9, 1250, 1401),  # no peak: the told estimate with the margin, up a bucket
-    ([(1000.0, 400.0)] * 9, 1000.0, 9e9, 500, 640),  # peak x margin
-    ([(1000.0, 500.0), (4000.0, 2000.0)] * 9, 2000.0, 9e9, 1250, 1420),  # peaks follow what is told
-    ([(1000.0, 400.0), (1000.0, 1600.0)] * 9, 1000.0, 9e9, 1400, 2000),  # a wide spread lifts the margin
-    ([(0.0, 400.0)] * 9, 0.0, 9e9, 500, 640),  # nothing told: the learned mean
-    ([], 5000.0, 3000.0, 3000, 3000),  # cap
-    ([], 0.0, 9e9, 0, 0),  # nothing known: the engine's own choice
-])
+@pytest.mark.parametrize(
+    ("runs", "told", "cap", "low", "high"),
+    [
+        ([], 1000.0, 9e9, 1250, 1401),  # no peak: the told estimate with the margin, up a bucket
+        ([(1000.0, 400.0)] * 9, 1000.0, 9e9, 500, 640),  # peak x margin
+        ([(1000.0, 500.0), (4000.0, 2000.0)] * 9, 2000.0, 9e9, 1250, 1420),  # peaks follow what is told
+        ([(1000.0, 400.0), (1000.0, 1600.0)] * 9, 1000.0, 9e9, 1400, 2000),  # a wide spread lifts the margin
+        ([(0.0, 400.0)] * 9, 0.0, 9e9, 500, 640),  # nothing told: the learned mean
+        ([], 5000.0, 3000.0, 3000, 3000),  # cap
+        ([], 0.0, 9e9, 0, 0),  # nothing known: the engine's own choice
+    ],
+)
 def test_grant_size(runs, told, cap, low, high):
     peaks = Peaks(1)
     for was_told, peak in runs:
@@ -55,10 +71,17 @@
     assert peaks.size(later, 0, 5, 1000.0, 9e9) < 2 * peaks.size(Peaks.KEPT + 1, 0, 6, 1000.0, 9e9)
 
 
-@pytest.mark.parametrize(("grant", "threads", "part", "fits"), [
-    (500.0, 1, 0.5, True), (501.0, 1, 0.5, False), (200.0, 1, 0.4, True), (201.0, 1, 0.4, False),
-    (100.0, 73, 0.5, True), (100.0, 74, 0.5, False),  # threads may be overdrawn by part of a batch
-])
+@pytest.mark.parametrize(
+    ("grant", "threads", "part", "fits"),
+    [
+        (500.0, 1, 0.5, True),
+        (501.0, 1, 0.5, False),
+        (200.0, 1, 0.4, True),
+        (201.0, 1, 0.4, False),
+        (100.0, 73, 0.5, True),
+        (100.0, 74, 0.5, False),  # threads may be overdrawn by part of a batch
+    ],
+)
 def test_ledger_holds_grants_and_threads_against_the_slice(grant, threads, part, fits):
     ledger = Ledger(3000.0, 16)
     ledger.change(1000.0, 4, 1)
@@ -67,9 +90,10 @@
     assert (ledger.granted, ledger.threads, ledger.running) == (0.0, 0, 0)
 
 
-@pytest.mark.parametrize(("taken", "spent", "allowed"), [
-    (0, 0, True), (0, 2, False), (10, 3, True), (10, 4, False), (100, 21, True), (100, 22, False),
-])
+@pytest.mark.parametrize(
+    ("taken", "spent", "allowed"),
+    [(0, 0, True), (0, 2, False), (10, 3, True), (10, 4, False), (100, 21, True), (100, 22, False)],
+)
 def test_ration_at_its_boundary(taken, spent, allowed):
     ration = Ration(RationTerms(10 * SECOND, 2, 0.2))
     for _ in range(taken):
@@ -81,9 +105,10 @@
     assert ration.allows(30 * SECOND)
 
 
-@pytest.mark.parametrize(("age", "gateways", "share"), [
-    (0, 1, 0.3), (5, 1, 0.65), (10, 1, 1.0), (0, 3, 0.3), (0, 50, 0.3), (5, 200, 0.65), (0, 200, 0.3),
-])
+@pytest.mark.parametrize(
+    ("age", "gateways", "share"),
+    [(0, 1, 0.3), (5, 1, 0.65), (10, 1, 1.0), (0, 3, 0.3), (0, 50, 0.3), (5, 200, 0.65), (0, 200, 0.3)],
+)
 def test_cold_budget_holds_for_all_gateways_and_lets_batches_through(age, gateways, share):
     cold, work, sent, used = ColdStart(0.3, 10 * SECOND, 3.0, 2 * SECOND), 5000, 0, 0
     for number in range(gateways):
@@ -100,19 +125,36 @@
     assert 0.3 * 3.0 * 0.3 * 16 * 2 * SECOND <= sent <= 3.0 * share * 16 * 2 * SECOND
 
 
-@pytest.mark.parametrize(("gateways", "others", "age", "part"), [
-    (1, 0.0, 0, 1.0), (3, 1.0, 0, 1 / 3), (3, 0.0, 0, 0.85 * 2 / 3), (50, 0.3, 0, 0.85 * 0.98 - 0.3),
-    (200, 0.3, 0, 0.85 * 0.995 - 0.3), (200, 0.9, 0, 0.005), (200, 0.1, 60, 0.85 * 0.995 - 0.5),
-])
+@pytest.mark.parametrize(
+    ("gateways", "others", "age", "part"),
+    [
+        (1, 0.0, 0, 1.0),
+        (3, 1.0, 0, 1 / 3),
+        (3, 0.0, 0, 0.85 * 2 / 3),
+        (50, 0.3, 0, 0.85 * 0.98 - 0.3),
+        (200, 0.3, 0, 0.85 * 0.995 - 0.3),
+        (200, 0.9, 0, 0.005),
+        (200, 0.1, 60, 0.85 * 0.995 - 0.5),
+    ],
+)
 def test_what_nobody_holds_is_lent_past_the_slice(gateways, others, age, part):
     engine = World(engines=1, gateways=gateways).gateway._engines[0]
     engine.heard(1000 * SECOND, LoadReport(memory_granted=others), 1.0)
     assert engine.ours((1000 + age) * SECOND, 0.5, 1 / gateways) == pytest.approx(part)
 
 
-@pytest.mark.parametrize(("gateways", "peers", "heard", "span", "parts"), [
-    (3, True, (1, 2), 900, 3), (3, True, (1, 2), 1500, 1), (3, True, (1,), 1500, 2), (3, True, (), 1500, 3),
-    (3, False, (1, 2), 1500, 3), (9, True, (1, 2), 1500, 9), (1, True, (), 1500, 1)])
+@pytest.mark.parametrize(
+    ("gateways", "peers", "heard", "span", "parts"),
+    [
+        (3, True, (1, 2), 900, 3),
+        (3, True, (1, 2), 1500, 1),
+        (3, True, (1,), 1500, 2),
+        (3, True, (), 1500, 3),
+        (3, False, (1, 2), 1500, 3),
+        (9, True, (1, 2), 1500, 9),
+        (1, True, (), 1500, 1),
+    ],
+)
 def test_the_slice_of_a_gateway_that_is_away_is_shared_by_the_rest(gateways, peers, heard, span, parts):
     """Seen on sockets: a tenth pushed back while one restarted, with a third of each engine left to nobody.
     One never heard counts as there: messages may be lost, and it starts when it starts."""
@@ -142,9 +184,10 @@
     assert world.gateway.slice == pytest.approx(part, abs=0.03)
 
 
-@pytest.mark.parametrize(("gateways", "engines", "kept", "sent"), [
-    (1, 40, 40, 40), (3, 7, 7, 7), (50, 12, 8, 2), (200, 40, 8, 2), (200, 1, 1, 1), (5, 0, 0, 0),
-])
+@pytest.mark.parametrize(
+    ("gateways", "engines", "kept", "sent"),
+    [(1, 40, 40, 40), (3, 7, 7, 7), (50, 12, 8, 2), (200, 40, 8, 2), (200, 1, 1, 1), (5, 0, 0, 0)],
+)
 def test_idle_engines_take_no_more_than_our_part_of_the_fleet(gateways, engines, kept, sent):
     world = World(engines=engines, gateways=gateways)
     for _ in range(60):
@@ -189,9 +232,9 @@
     assert trials <= most
 
 
-@pytest.mark.parametrize(("waited", "cheap", "dear"), [
-    (0.0, True, True), (0.2, True, False), (0.5, True, False),
-])
+@pytest.mark.parametrize(
+    ("waited", "cheap", "dear"), [(0.0, True, True), (0.2, True, False), (0.5, True, False)]
+)
 def test_the_door_turns_away_what_earns_least_for_its_work(waited, cheap, dear):
     door = Door(10_000)
     for count in range(50):
@@ -247,19 +290,22 @@
     assert world.did("grant")[1][1] < world.did("grant")[0][1]
 
 
-@pytest.mark.parametrize(("effect", "scope", "outcome", "again", "answer"), [
-    (Effect.REPEATABLE, Scope.ALL, O.ERRORED, True, "push_back"),
-    (Effect.REPEATABLE, Scope.ALL, O.TIMED_OUT, True, "push_back"),
-    (Effect.ONCE_ONLY, Scope.ALL, O.PUSHED_BACK, True, "push_back"),
-    (Effect.ONCE_ONLY, Scope.ALL, O.NO_CONNECTION, True, "push_back"),
-    (Effect.ONCE_ONLY, Scope.ALL, O.ERRORED, False, "error"),
-    (Effect.ONCE_ONLY, Scope.ALL, O.TIMED_OUT, False, "error"),
-    (Effect.ONCE_ONLY, Scope.ALL, O.RESET, False, "error"),
-    (Effect.ONCE_ONLY, Scope.ALL, O.CANCELLED, False, "error"),
-    (Effect.REFERENCED, Scope.ALL, O.RESET, True, "push_back"),
-    (Effect.REFERENCED, Scope.LOCATION, O.RESET, True, "error"),
-    (Effect.REFERENCED, Scope.CELL, O.ERRORED, True, "error"),
-])
+@pytest.mark.parametrize(
+    ("effect", "scope", "outcome", "again", "answer"),
+    [
+        (Effect.REPEATABLE, Scope.ALL, O.ERRORED, True, "push_back"),
+        (Effect.REPEATABLE, Scope.ALL, O.TIMED_OUT, True, "push_back"),
+        (Effect.ONCE_ONLY, Scope.ALL, O.PUSHED_BACK, True, "push_back"),
+        (Effect.ONCE_ONLY, Scope.ALL, O.NO_CONNECTION, True, "push_back"),
+        (Effect.ONCE_ONLY, Scope.ALL, O.ERRORED, False, "error"),
+        (Effect.ONCE_ONLY, Scope.ALL, O.TIMED_OUT, False, "error"),
+        (Effect.ONCE_ONLY, Scope.ALL, O.RESET, False, "error"),
+        (Effect.ONCE_ONLY, Scope.ALL, O.CANCELLED, False, "error"),
+        (Effect.REFERENCED, Scope.ALL, O.RESET, True, "push_back"),
+        (Effect.REFERENCED, Scope.LOCATION, O.RESET, True, "error"),
+        (Effect.REFERENCED, Scope.CELL, O.ERRORED, True, "error"),
+    ],
+)
 def test_no_effect_twice(effect, scope, outcome, again, answer):
     world = World(effect=effect, scope=scope)
     batch = world.take()
@@ -343,8 +389,10 @@
         for batch in batches:
             for number, send in enumerate(batch.sends):
                 assert world.now <= ends[batch.arrival.index] or not send.out
-                if send.out and any(d[0] == batch.arrival.index and send.sent + d[2] <= world.now
-                                    for d in world.did("dispatch")):
+                if send.out and any(
+                    d[0] == batch.arrival.index and send.sent + d[2] <= world.now
+                    for d in world.did("dispatch")
+                ):
                     batch.ended(number, AttemptResult(O.TIMED_OUT, 1), False)
         for name in ("push_back", "error"):
             for call in world.did(name):
@@ -452,9 +500,7 @@
     assert second > first
 
 
-@pytest.mark.parametrize(("heeded", "cost", "priority"), [
-    (True, 1000, 2), (True, 9000, 1), (False, 1000, 1),
-])
+@pytest.mark.parametrize(("heeded", "cost", "priority"), [(True, 1000, 2), (True, 9000, 1), (False, 1000, 1)])
 def test_light_batches_go_first_where_priorities_are_heeded(heeded, cost, priority):
     world = World(allowed={"priorities": heeded})
     world.take(cost=cost)
@@ -504,8 +550,13 @@
     for step in range(300):
         name = other.randrange(40)
         state = other.choice([EngineState.UP, EngineState.UP, EngineState.DRAINING, EngineState.GONE])
-        there[name] = entry(name, state=state, location=other.randrange(3), cell=other.randrange(2),
-                            weight=other.choice([0.0, 0.5, 1.0, 2.0]))
+        there[name] = entry(
+            name,
+            state=state,
+            location=other.randrange(3),
+            cell=other.randrange(2),
+            weight=other.choice([0.0, 0.5, 1.0, 2.0]),
+        )
         world.gateway.listed([there[name]], False)
         for bounds in (Bounds(None, None, None), Bounds((1,), None, None), Bounds((0, 2), None, 1)):
             kept = {e.entry.engine for e in world.gateway._kept(bounds)}
@@ -539,7 +590,7 @@
         for _ in range(400):
             world.take(cost=20_000)
         sent.append(world.gateway._engines[0].ramp.sent.total(world.now, 0))
-        cold, = conditions(world.gateway)
+        (cold,) = conditions(world.gateway)
         assert not cold.warm and cold.share == pytest.approx(0.3)
     assert 0.0 < sent[1] <= sent[0] / 2 + 20_000
 
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -1,4 +1,5 @@
 """The drivers of engines and clients, and the service, on transports and a clock that the tests move."""
+
 from __future__ import annotations
 
 import gc
@@ -79,9 +80,14 @@
         self.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(why()))
 
 
-@pytest.mark.parametrize(("why", "cause"), [
-    (ConnectionRefusedError, Cause.REFUSED), (TimeoutError, Cause.CONNECT_TIME_OUT),
-    (OSError, Cause.REFUSED)])
+@pytest.mark.parametrize(
+    ("why", "cause"),
+    [
+        (ConnectionRefusedError, Cause.REFUSED),
+        (TimeoutError, Cause.CONNECT_TIME_OUT),
+        (OSError, Cause.REFUSED),
+    ],
+)
 def test_no_connection_proves_that_nothing_ran(why, cause):
     fleet = Fleet()
     fleet.send("a")
@@ -92,11 +98,14 @@
     assert fleet.engines.connections() == 0
 
 
-@pytest.mark.parametrize(("left", "why", "stages"), [
-    (True, ConnectionLost, [Stage.WRITTEN, Stage.WRITTEN]),
-    (True, ConnectionDone, [Stage.WRITTEN, Stage.WRITTEN]),
-    (False, ConnectionLost, [Stage.WRITTEN, Stage.PARTLY_WRITTEN]),
-])
+@pytest.mark.parametrize(
+    ("left", "why", "stages"),
+    [
+        (True, ConnectionLost, [Stage.WRITTEN, Stage.WRITTEN]),
+        (True, ConnectionDone, [Stage.WRITTEN, Stage.WRITTEN]),
+        (False, ConnectionLost, [Stage.WRITTEN, Stage.PARTLY_WRITTEN]),
+    ],
+)
 def test_a_lost_connection_tells_what_had_left_whole(left, why, stages):
     """The last command handed over has not left whole before the transport says that all has."""
     fleet = Fleet()
@@ -194,8 +203,9 @@
     assert [name for name, *_ in fleet.ends] == ["a"]  # the late answer ended no dispatch
 
 
-@pytest.mark.parametrize(("most", "connections", "calls", "again"), [
-    (32, 4, 2, 2), (2, 2, 2, 2), (32, 1, 1, 1), (1, 3, 3, 3)])
+@pytest.mark.parametrize(
+    ("most", "connections", "calls", "again"), [(32, 4, 2, 2), (2, 2, 2, 2), (32, 1, 1, 1), (1, 3, 3, 3)]
+)
 def test_there_are_as_many_connections_as_dispatches_on_each(most, connections, calls, again):
     """What befalls a connection befalls all that is open on it; one for each took twice the CPU."""
     fleet = Fleet(most, connections=connections, others=0)
@@ -208,8 +218,13 @@
     assert len(fleet.reactor.tcpClients) == again and [n for n, *_ in fleet.ends] == ["a"]
 
 
-@pytest.mark.parametrize(("came", "stage"), [
-    (b"*4\r\n$1\r\na", Stage.WRITTEN), (command(b"a", b"OK", b"total=2", b"a\tb\tc\n"), Stage.PAGES_MISSING)])
+@pytest.mark.parametrize(
+    ("came", "stage"),
+    [
+        (b"*4\r\n$1\r\na", Stage.WRITTEN),
+        (command(b"a", b"OK", b"total=2", b"a\tb\tc\n"), Stage.PAGES_MISSING),
+    ],
+)
 def test_an_answer_that_stops_short_ends_its_connection_soon(came, stage):
     """It held its batches to their time limits, and the connection took new ones that shared their fate."""
     fleet = Fleet()
@@ -309,6 +324,7 @@
 
 # Clients and the service.
 
+
 class Served:
     """A service with one engine and one client, on clocks that the test moves."""
 
@@ -337,7 +353,8 @@
     def ask(self, stream, body=b"S", **other):
         told = {"service": "look", "ref": f"{stream:016x}", "allow": "5000", "project": "acme", **other}
         payload = bytes((len(told),)) + b"".join(
-            bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode() for n, v in told.items())
+            bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode() for n, v in told.items()
+        )
         self.client.dataReceived(frames.frame(frames.REQUEST, stream, payload + body))
 
     def advance(self, span):
@@ -534,9 +551,18 @@
     assert late.disconnecting != spare and served.service.open == 3
 
 
-@pytest.mark.parametrize(("begun", "span", "ended"), [
-    (b"", 1.7, False), (b"", 2.3, True), (b"\0\0\0\x40\2", 2.3, True), (b"drip", 2.3, True),
-    (b"ready", 2.3, False), (b"ready", 7.9, False), (b"ready", 8.3, True)])
+@pytest.mark.parametrize(
+    ("begun", "span", "ended"),
+    [
+        (b"", 1.7, False),
+        (b"", 2.3, True),
+        (b"\0\0\0\x40\2", 2.3, True),
+        (b"drip", 2.3, True),
+        (b"ready", 2.3, False),
+        (b"ready", 7.9, False),
+        (b"ready", 8.3, True),
+    ],
+)
 def test_who_sends_nothing_whole_or_nothing_any_more_is_ended(begun, span, ended):
     """Silent connections, and some that had asked once, held their descriptors for good."""
     served = Served()
@@ -547,7 +573,7 @@
         client.dataReceived(begun)
     for number in range(round(span / 0.1)):
         if begun == b"drip":
-            client.dataReceived(frames.frame(frames.REQUEST, 1, b"\0" * 100)[number:number + 1])
+            client.dataReceived(frames.frame(frames.REQUEST, 1, b"\0" * 100)[number : number + 1])
         served.advance(0.1)
     assert wire.disconnecting == ended and served.client in served.clients._all or ended
 
@@ -583,9 +609,16 @@
     served = Served()
 
     def change(number, whole=False, **states):
-        served.service.listed(feed.Change(number, whole, [
-            feed.Member(name, f"127.0.0.1:{9 + int(name[1:]) % 3}", state, 0, 0, 0, 1.0, 0)
-            for name, state in states.items()]))
+        served.service.listed(
+            feed.Change(
+                number,
+                whole,
+                [
+                    feed.Member(name, f"127.0.0.1:{9 + int(name[1:]) % 3}", state, 0, 0, 0, 1.0, 0)
+                    for name, state in states.items()
+                ],
+            )
+        )
 
     up, gone = feed.EngineState.UP, feed.EngineState.GONE
     for number in range(1, 60):
@@ -607,8 +640,9 @@
     assert len(said) == 2 and "left_out=6" in said[1]
 
 
-@pytest.mark.parametrize(("peer", "size", "sent"), [
-    (1, 256, ("127.0.0.3", 7)), (None, 10, ("127.0.0.9", 7)), (1, 257, None)])
+@pytest.mark.parametrize(
+    ("peer", "size", "sent"), [(1, 256, ("127.0.0.3", 7)), (None, 10, ("127.0.0.9", 7)), (1, 257, None)]
+)
 def test_datagrams_go_to_one_peer_or_all_and_none_is_too_long(peer, size, sent):
     peers, out = Peers("127.0.0.1:7", ["127.0.0.2:7", "127.0.0.3:7"], "127.0.0.9:7"), []
     peers.tell(peer, b"before it is open")
@@ -642,16 +676,29 @@
     assert [stream for stream, _ in served.answers() if stream] == [1, 2]
 
 
-@pytest.mark.parametrize(("words", "code", "said"), [
-    (["version"], 0, "vanerelay 0."), (["check", "missing.json"], 2, "missing.json"),
-    (["check", "good.json"], 0, "engines known: 1"), (["serve"], 2, "--config"),
-    (["check", "empty.json"], 2, "nothing told under"), (["--help"], 0, "serve"),
-])
+@pytest.mark.parametrize(
+    ("words", "code", "said"),
+    [
+        (["version"], 0, "vanerelay 0."),
+        (["check", "missing.json"], 2, "missing.json"),
+        (["check", "good.json"], 0, "engines known: 1"),
+        (["serve"], 2, "--config"),
+        (["check", "empty.json"], 2, "nothing told under"),
+        (["--help"], 0, "serve"),
+    ],
+)
 def test_the_command_line(words, code, said, tmp_path, monkeypatch):
     monkeypatch.chdir(tmp_path)
     row = {"id": "e", "host_port": "127.0.0.1:9", "phase": "SERVING"}
-    told = {"limits": {}, "feed": "127.0.0.1:1", "settings": SERVICES, "known": {
-        "n": 1, "events": [{"n": 1, "members": {"revision": 1, "complete": True, "members": [row]}}]}}
+    told = {
+        "limits": {},
+        "feed": "127.0.0.1:1",
+        "settings": SERVICES,
+        "known": {
+            "n": 1,
+            "events": [{"n": 1, "members": {"revision": 1, "complete": True, "members": [row]}}],
+        },
+    }
     (tmp_path / "good.json").write_text(json.dumps(told))
     (tmp_path / "empty.json").write_text("{}")
     result = CliRunner().invoke(main, words)
@@ -663,5 +710,6 @@
     told = "queue:3;x0:0.4;inflight:7;x1:x;new:1"
     from vanerelay import terms
     from vanerelay.net import service
+
     report = terms.load_report(served.service._reported, service._report(told))
     assert (report.waiting, report.memory_granted, report.running, report.disks_busy) == (3.0, 0.4, 7.0, None)
--- a/tests/test_grpc_wire.py
+++ b/tests/test_grpc_wire.py
@@ -89,9 +89,14 @@
     assert two.heard[1] == b"!" and two.ends == [status.OK] and not pair.client.calls
 
 
-@pytest.mark.parametrize(("opener", "told", "code", "ran"), [(lambda call: Status(Code.UNIMPLEMENTED,
-    "no \u00fc % method\n"), {}, Code.UNIMPLEMENTED, True), (None, {"metadata": {"grpc-encoding": "snappy"}},
-    Code.UNIMPLEMENTED, True), (None, {"metadata": {"grpc-timeout": "soon"}}, Code.INTERNAL, True)])
+@pytest.mark.parametrize(
+    ("opener", "told", "code", "ran"),
+    [
+        (lambda call: Status(Code.UNIMPLEMENTED, "no \u00fc % method\n"), {}, Code.UNIMPLEMENTED, True),
+        (None, {"metadata": {"grpc-encoding": "snappy"}}, Code.UNIMPLEMENTED, True),
+        (None, {"metadata": {"grpc-timeout": "soon"}}, Code.INTERNAL, True),
+    ],
+)
 def test_calls_that_end_at_once(opener, told, code, ran):
     pair = Pair(opener=opener)
     ear = pair.call(**told)
@@ -224,8 +229,14 @@
 def headers(stream, **other):
     from hpack import Encoder
 
-    told = {":method": "POST", ":scheme": "http", ":path": "/s/m", ":authority": "x",
-        "content-type": "application/grpc", **other}
+    told = {
+        ":method": "POST",
+        ":scheme": "http",
+        ":path": "/s/m",
+        ":authority": "x",
+        "content-type": "application/grpc",
+        **other,
+    }
     return HeadersFrame(stream, Encoder().encode(list(told.items())), flags=["END_HEADERS"]).serialize()
 
 
@@ -279,10 +290,16 @@
     assert not opened and not server.ended and not server.calls
 
 
-@pytest.mark.parametrize(("data", "says"), [(b"\2\0\0\0\0", "packed"), (b"\0\0\0\1\1", "257 bytes"),
-    (b"\1\0\0\0\3abc", "cannot be unpacked"), (b"\1" + len(gzip.compress(b"x" * 9999)).to_bytes(4,
-    "big") + gzip.compress(b"x" * 9999), "over 256"), (b"\1\0\0\0\x0c" + gzip.compress(b"abc")[:12],
-    "in part")])
+@pytest.mark.parametrize(
+    ("data", "says"),
+    [
+        (b"\2\0\0\0\0", "packed"),
+        (b"\0\0\0\1\1", "257 bytes"),
+        (b"\1\0\0\0\3abc", "cannot be unpacked"),
+        (b"\1" + len(gzip.compress(b"x" * 9999)).to_bytes(4, "big") + gzip.compress(b"x" * 9999), "over 256"),
+        (b"\1\0\0\0\x0c" + gzip.compress(b"abc")[:12], "in part"),
+    ],
+)
 def test_messages_that_cannot_be_read(data, says):
     for size in (len(data), 1):
         messages, found = Messages(256, True), []
@@ -301,8 +318,21 @@
     assert [e.code for e in pair.ears[0].ends] == [Code.RESOURCE_EXHAUSTED]
 
 
-@pytest.mark.parametrize(("text", "units"), [("5S", 50_000), ("1H", 36_000_000), ("100m", 1000), ("250u", 2),
-    ("1n", 0), ("", None), ("5", None), ("123456789S", None), ("-5S", None), ("5s", None)])
+@pytest.mark.parametrize(
+    ("text", "units"),
+    [
+        ("5S", 50_000),
+        ("1H", 36_000_000),
+        ("100m", 1000),
+        ("250u", 2),
+        ("1n", 0),
+        ("", None),
+        ("5", None),
+        ("123456789S", None),
+        ("-5S", None),
+        ("5s", None),
+    ],
+)
 def test_time_limits_on_the_wire(text, units):
     assert status.timeout(text) == units
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -73,9 +73,7 @@
     """Holders that count too long a term, and receivers that take what comes."""
     monkeypatch.setattr("vanerelay.leases.quorum.Terms.held", lambda self, term: 2 * term)
     monkeypatch.setattr(Gate, "refuses", lambda self, *told: None)
-    extra = [
-        *(Trouble("cut", f"m{n}", 3.0 + 2.5 * n, 2.0) for n in (1, 2, 3, 4, 5)),
-    ]
+    extra = [*(Trouble("cut", f"m{n}", 3.0 + 2.5 * n, 2.0) for n in (1, 2, 3, 4, 5))]
     found = [seed for seed in range(2) if wrong(play(seed, extra))]
     assert found
     least = shortest(extra, lambda fewer: bool(wrong(play(found[0], fewer))))
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,4 +1,5 @@
 """The machines of the network code: fed whole, byte by byte and broken."""
+
 from __future__ import annotations
 
 import itertools
@@ -14,7 +15,7 @@
 
 
 def pieces(data, size):
-    return [data[at:at + size] for at in range(0, len(data), size)] if size else [data]
+    return [data[at : at + size] for at in range(0, len(data), size)] if size else [data]
 
 
 SIZES = pytest.mark.parametrize("size", [0, 1, 2, 7])
@@ -22,6 +23,7 @@
 
 # Buffers.
 
+
 @pytest.mark.parametrize("size", [1, 5, 1000, BLOCK - 1, BLOCK, BLOCK + 1, 3 * BLOCK])
 def test_what_is_gathered_comes_out_as_fed_and_the_blocks_go_back(size):
     pool, data = Pool(), bytes(range(256)) * (4 * BLOCK // 256) + b"end"
@@ -48,10 +50,11 @@
 
 # Clients.
 
+
 def call(stream, body=b"SELECT 1", **fields):
     return bytes((len(fields),)) + b"".join(
-        bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode()
-        for n, v in fields.items()) + body, stream
+        bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode() for n, v in fields.items()
+    ) + body, stream
 
 
 def request(stream, body=b"SELECT 1", **fields):
@@ -61,26 +64,39 @@
 @SIZES
 def test_frames_come_out_alike_however_they_come_in(size):
     reader, big = frames.FrameReader(Pool()), b"x" * (3 * BLOCK)
-    data = (request(1, ref="a1", allow="1500") + frames.frame(frames.LEAVE, 1)
-            + frames.frame(frames.READY, 0, b"\0") + request(9, big))
+    data = (
+        request(1, ref="a1", allow="1500")
+        + frames.frame(frames.LEAVE, 1)
+        + frames.frame(frames.READY, 0, b"\0")
+        + request(9, big)
+    )
     if size:  # byte by byte, but for the long body
-        data, tail = data[:-len(big)], [big]
+        data, tail = data[: -len(big)], [big]
     else:
         tail = []
     got = [f for piece in pieces(data, size) + tail for f in reader.feed(piece)]
     assert got == [
         frames.Frame(frames.REQUEST, 1, {"ref": "a1", "allow": "1500"}, b"SELECT 1"),
-        frames.Frame(frames.LEAVE, 1, {}, b""), frames.Frame(frames.READY, 0, {}, b""),
-        frames.Frame(frames.REQUEST, 9, {}, big)]
+        frames.Frame(frames.LEAVE, 1, {}, b""),
+        frames.Frame(frames.READY, 0, {}, b""),
+        frames.Frame(frames.REQUEST, 9, {}, big),
+    ]
 
 
 BROKEN = [
-    (b"\0\0\0\4\2\0\0\0\1", "length"), (b"\0\4\0\1\2\0\0\0\1", "length"), (b"\xff" * 9, "length"),
-    (frames.frame(4, 1, b"\0\0"), "type"), (frames.frame(0, 1), "type"),
-    (frames.frame(2, 0, b"\0"), "stream 0"), (request(5) + request(5), "stream 5"),
-    (request(5) + request(4), "stream 4"), (frames.frame(2, 1), "fields"),
-    (frames.frame(2, 1, b"\1"), "fields"), (frames.frame(2, 1, b"\1\3ab"), "field"),
-    (frames.frame(2, 1, b"\1\1a\0\5xy"), "past"), (frames.frame(2, 1, b"\2\1a\0\1x"), "fields"),
+    (b"\0\0\0\4\2\0\0\0\1", "length"),
+    (b"\0\4\0\1\2\0\0\0\1", "length"),
+    (b"\xff" * 9, "length"),
+    (frames.frame(4, 1, b"\0\0"), "type"),
+    (frames.frame(0, 1), "type"),
+    (frames.frame(2, 0, b"\0"), "stream 0"),
+    (request(5) + request(5), "stream 5"),
+    (request(5) + request(4), "stream 4"),
+    (frames.frame(2, 1), "fields"),
+    (frames.frame(2, 1, b"\1"), "fields"),
+    (frames.frame(2, 1, b"\1\3ab"), "field"),
+    (frames.frame(2, 1, b"\1\1a\0\5xy"), "past"),
+    (frames.frame(2, 1, b"\2\1a\0\1x"), "fields"),
     (frames.frame(2, 1, b"\1\1\xff\0\1x"), "text"),
 ]
 
@@ -102,11 +118,13 @@
 
 def test_an_answer_is_laid_out_as_the_page_says():
     assert frames.answer(frames.ANSWER, 7, 1, {"cooldown": "250"}, b"b") == (
-        b"\0\0\0\x16" b"\4" b"\0\0\0\7" b"\1" b"\1" b"\x08cooldown" b"\0\x03" b"250" b"b")
+        b"\0\0\0\x16\4\0\0\0\7\1\1\x08cooldown\0\x03250b"
+    )
 
 
 # Engines.
 
+
 def said(ident, word, told="-", body=b""):
     return resp.command(ident, word, told.encode(), body)
 
@@ -137,62 +155,71 @@
     talk = exchange()
     rows = [b"a\tb\tc\n", b"", b"d\te\tf\r\n$1\t\t\xc3\xb1\n"]
     data = said(b"q", b"OK", TOLD, rows[0]) + b"".join(
-        2 * said(b"q", b"ROWS", f"index={n}", rows[n]) for n in order)
+        2 * said(b"q", b"ROWS", f"index={n}", rows[n]) for n in order
+    )
     # What brings more than belongs to it, second copies and an answer to nobody, is as good without.
     data = said(b"z", b"OK", TOLD, b"x") + said(b"q", b"OK", TOLD, rows[0]) + data
     got = [end for piece in pieces(data, size) for end in talk.feed(piece)]
-    assert [(i, e.cause, e.stage, e.rows) for i, e in got] == [
-        (b"q", Cause.OK, Stage.WHOLE, b"".join(rows))]
+    assert [(i, e.cause, e.stage, e.rows) for i, e in got] == [(b"q", Cause.OK, Stage.WHOLE, b"".join(rows))]
     assert got[0][1].told["l"] == "queue:3;x0:0.4" and got[0][1].told["rss"] == "40"
-    assert talk.out == [resp.command(b"read", b"q", b"1"), resp.command(b"read", b"q", b"2"),
-                        resp.command(b"release", b"q")]
+    assert talk.out == [
+        resp.command(b"read", b"q", b"1"),
+        resp.command(b"read", b"q", b"2"),
+        resp.command(b"release", b"q"),
+    ]
 
 
 ROW = b"a\tb\tc\n"
 PAGE = said(b"q", b"OK", "total=3", ROW)
 
 
-@pytest.mark.parametrize(("data", "cause", "stage"), [
-    (said(b"q", b"BUSY"), Cause.BUSY, Stage.WRITTEN),
-    (said(b"q", b"ERR"), Cause.ERR, Stage.WRITTEN),
-    (said(b"q", b"VOID"), Cause.VOID, Stage.WRITTEN),
-    (said(b"q", b"WHAT"), Cause.UNREADABLE, Stage.WRITTEN),
-    (said(b"q", b"OK"), Cause.UNREADABLE, Stage.WRITTEN),
-    (said(b"q", b"OK", "total=0"), Cause.UNREADABLE, Stage.WRITTEN),
-    (said(b"q", b"OK", "total=x"), Cause.UNREADABLE, Stage.WRITTEN),
-    (said(b"q", b"OK", "total=\u00b2"), Cause.UNREADABLE, Stage.WRITTEN),
-    (said(b"q", b"OK", "total=" + "9" * 5000), Cause.UNREADABLE, Stage.WRITTEN),
-    (PAGE + said(b"q", b"ROWS", "index=\u00b2", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (said(b"q", b"OK", "total=1", b"\t\tx\n" * 1501), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (said(b"q", b"OK", "total=1", b"a\tb\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (said(b"q", b"OK", "total=1", ROW + b"a\tb\tc"), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (said(b"q", b"OK", "total=1", ROW + b"a\tb\tc\td\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (said(b"q", b"OK", "total=1", b"a\tb\t\xff\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (said(b"q", b"OK", "total=1", b"a\tb\t\0\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (said(b"q", b"OK", "total", ROW), Cause.UNREADABLE, Stage.WRITTEN),
-    (said(b"z", b"OK", "=", ROW), Cause.UNREADABLE, Stage.WRITTEN),
-    (b"*3\r\n$1\r\nq\r\n", Cause.UNREADABLE, Stage.WRITTEN),
-    (b"x", Cause.UNREADABLE, Stage.WRITTEN),
-    (b"*x", Cause.UNREADABLE, Stage.WRITTEN),
-    (b"*4\r\n$1x", Cause.UNREADABLE, Stage.WRITTEN),
-    (said(b"q", b"ROWS", "index=1"), Cause.UNREADABLE, Stage.WRITTEN),
-    (PAGE + said(b"q", b"ERR"), Cause.ERR, Stage.PAGES_MISSING),
-    (PAGE + said(b"q", b"BUSY"), Cause.BUSY, Stage.PAGES_MISSING),
-    (PAGE + said(b"q", b"VOID"), Cause.VOID, Stage.PAGES_MISSING),
-    (PAGE + said(b"q", b"OK", "total=4", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (PAGE + said(b"q", b"ROWS", "index=0", ROW + ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (PAGE + said(b"q", b"ROWS", "index=3", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (PAGE + said(b"q", b"ROWS", "", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (PAGE + said(b"q", b"ROWS", "index=1", ROW) + said(b"q", b"ROWS", "index=1", b"\t\t\n"), Cause.UNREADABLE,
-     Stage.PAGES_MISSING),
-    (b"nonsense\r\n", Cause.UNREADABLE, Stage.WRITTEN),
-    (PAGE + b"*4\r\n$1\r\nqq", Cause.UNREADABLE, Stage.PAGES_MISSING),
-    (b"*0\r\n", Cause.UNREADABLE, Stage.WRITTEN),
-    (b"*4\r\n$-1\r\n", Cause.UNREADABLE, Stage.WRITTEN),
-    (b"*4\r\n$99999999\r\n", Cause.UNREADABLE, Stage.WRITTEN),
-    (b"*99999999\r\n", Cause.UNREADABLE, Stage.WRITTEN),
-    (b"*" + b"1" * 40, Cause.UNREADABLE, Stage.WRITTEN),
-])
+@pytest.mark.parametrize(
+    ("data", "cause", "stage"),
+    [
+        (said(b"q", b"BUSY"), Cause.BUSY, Stage.WRITTEN),
+        (said(b"q", b"ERR"), Cause.ERR, Stage.WRITTEN),
+        (said(b"q", b"VOID"), Cause.VOID, Stage.WRITTEN),
+        (said(b"q", b"WHAT"), Cause.UNREADABLE, Stage.WRITTEN),
+        (said(b"q", b"OK"), Cause.UNREADABLE, Stage.WRITTEN),
+        (said(b"q", b"OK", "total=0"), Cause.UNREADABLE, Stage.WRITTEN),
+        (said(b"q", b"OK", "total=x"), Cause.UNREADABLE, Stage.WRITTEN),
+        (said(b"q", b"OK", "total=\u00b2"), Cause.UNREADABLE, Stage.WRITTEN),
+        (said(b"q", b"OK", "total=" + "9" * 5000), Cause.UNREADABLE, Stage.WRITTEN),
+        (PAGE + said(b"q", b"ROWS", "index=\u00b2", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (said(b"q", b"OK", "total=1", b"\t\tx\n" * 1501), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (said(b"q", b"OK", "total=1", b"a\tb\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (said(b"q", b"OK", "total=1", ROW + b"a\tb\tc"), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (said(b"q", b"OK", "total=1", ROW + b"a\tb\tc\td\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (said(b"q", b"OK", "total=1", b"a\tb\t\xff\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (said(b"q", b"OK", "total=1", b"a\tb\t\0\n"), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (said(b"q", b"OK", "total", ROW), Cause.UNREADABLE, Stage.WRITTEN),
+        (said(b"z", b"OK", "=", ROW), Cause.UNREADABLE, Stage.WRITTEN),
+        (b"*3\r\n$1\r\nq\r\n", Cause.UNREADABLE, Stage.WRITTEN),
+        (b"x", Cause.UNREADABLE, Stage.WRITTEN),
+        (b"*x", Cause.UNREADABLE, Stage.WRITTEN),
+        (b"*4\r\n$1x", Cause.UNREADABLE, Stage.WRITTEN),
+        (said(b"q", b"ROWS", "index=1"), Cause.UNREADABLE, Stage.WRITTEN),
+        (PAGE + said(b"q", b"ERR"), Cause.ERR, Stage.PAGES_MISSING),
+        (PAGE + said(b"q", b"BUSY"), Cause.BUSY, Stage.PAGES_MISSING),
+        (PAGE + said(b"q", b"VOID"), Cause.VOID, Stage.PAGES_MISSING),
+        (PAGE + said(b"q", b"OK", "total=4", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (PAGE + said(b"q", b"ROWS", "index=0", ROW + ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (PAGE + said(b"q", b"ROWS", "index=3", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (PAGE + said(b"q", b"ROWS", "", ROW), Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (
+            PAGE + said(b"q", b"ROWS", "index=1", ROW) + said(b"q", b"ROWS", "index=1", b"\t\t\n"),
+            Cause.UNREADABLE,
+            Stage.PAGES_MISSING,
+        ),
+        (b"nonsense\r\n", Cause.UNREADABLE, Stage.WRITTEN),
+        (PAGE + b"*4\r\n$1\r\nqq", Cause.UNREADABLE, Stage.PAGES_MISSING),
+        (b"*0\r\n", Cause.UNREADABLE, Stage.WRITTEN),
+        (b"*4\r\n$-1\r\n", Cause.UNREADABLE, Stage.WRITTEN),
+        (b"*4\r\n$99999999\r\n", Cause.UNREADABLE, Stage.WRITTEN),
+        (b"*99999999\r\n", Cause.UNREADABLE, Stage.WRITTEN),
+        (b"*" + b"1" * 40, Cause.UNREADABLE, Stage.WRITTEN),
+    ],
+)
 @SIZES
 def test_every_answer_ends_its_dispatch_once(data, cause, stage, size):
     talk = exchange()
@@ -203,7 +230,8 @@
 def test_a_result_past_what_the_page_allows_is_not_an_answer():
     talk = exchange()
     data = said(b"q", b"OK", "total=9", b"\t\tx\n" * 1500) + b"".join(
-        said(b"q", b"ROWS", f"index={n}", b"\t\tx\n" * 1500) for n in range(1, 9))
+        said(b"q", b"ROWS", f"index={n}", b"\t\tx\n" * 1500) for n in range(1, 9)
+    )
     assert [e.cause for _, e in talk.feed(data)] == [Cause.UNREADABLE]
 
 
@@ -221,12 +249,18 @@
 
 
 @SIZES
-@pytest.mark.parametrize(("told", "note"), [
-    ("n=frac,datum=0.5", resp.Note(NoteKind.PROGRESS, 0.5)),
-    ("n=missing,datum=13", resp.Note(NoteKind.SPILL, 13.0)),
-    ("n=parked,datum=2", resp.Note(NoteKind.WAITING, 2.0)),
-    ("n=other,datum=2", None), ("n=frac,datum=x", None), ("n=frac", None), ("-", None),
-])
+@pytest.mark.parametrize(
+    ("told", "note"),
+    [
+        ("n=frac,datum=0.5", resp.Note(NoteKind.PROGRESS, 0.5)),
+        ("n=missing,datum=13", resp.Note(NoteKind.SPILL, 13.0)),
+        ("n=parked,datum=2", resp.Note(NoteKind.WAITING, 2.0)),
+        ("n=other,datum=2", None),
+        ("n=frac,datum=x", None),
+        ("n=frac", None),
+        ("-", None),
+    ],
+)
 def test_a_note_ends_nothing(told, note, size):
     """Taken for an answer that cannot be read, it had a batch dispatched again beside the one that ran on."""
     talk, data = exchange(), said(b"q", b"NOTE", told) + said(b"z", b"NOTE", told) + said(b"q", b"ERR")
@@ -264,11 +298,13 @@
 
 # Ends and outcomes.
 
+
 @pytest.mark.parametrize(("cause", "stage"), list(ends.OUTCOMES))
 def test_only_what_is_proved_never_to_have_run_is_said_so(cause, stage):
     outcome = ends.OUTCOMES[cause, stage]
     proved = stage in (Stage.NOT_CONNECTED, Stage.PARTLY_WRITTEN) or (
-        stage is Stage.WRITTEN and cause in (Cause.BUSY, Cause.VOID))
+        stage is Stage.WRITTEN and cause in (Cause.BUSY, Cause.VOID)
+    )
     assert (outcome in NEVER_RAN) == proved
     assert (outcome is Outcome.RETURNED) == (stage is Stage.WHOLE)
 
@@ -278,8 +314,10 @@
     given_up = (Cause.TIME_OUT, Cause.CANCELLED)
     wanted = {(Cause.OK, Stage.WHOLE), (Cause.LOST, Stage.PARTLY_WRITTEN)}
     wanted |= set(itertools.product((*spoken, *given_up, Cause.LOST), (Stage.WRITTEN, Stage.PAGES_MISSING)))
-    wanted |= {(cause, Stage.NOT_CONNECTED) for cause in (
-        *given_up, Cause.LOST, Cause.REFUSED, Cause.CONNECT_TIME_OUT, Cause.OVER)}
+    wanted |= {
+        (cause, Stage.NOT_CONNECTED)
+        for cause in (*given_up, Cause.LOST, Cause.REFUSED, Cause.CONNECT_TIME_OUT, Cause.OVER)
+    }
     assert set(ends.OUTCOMES) == wanted
 
 
@@ -290,25 +328,38 @@
 
 
 @SIZES
-@pytest.mark.parametrize(("data", "result"), [
-    (WHOLE, feed.Reply(200, BODY, True)),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE, feed.Reply(200, BODY, True)),
-    (b"HTTP/1.1 200 OK\r\ncontent-length:19\r\nConnection: Close\r\n\r\n" + BODY,
-     feed.Reply(200, BODY, False)),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n" + BODY[:5] + b"\r\ne;x=1\r\n" + BODY[5:]
-     + b"\r\n0\r\nTrailer: x\r\n\r\n", feed.Reply(200, BODY, True)),
-    (b"HTTP/1.1 204 None\r\n\r\n", feed.Reply(204, b"", True)),
-    (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", feed.Reply(503, b"", True)),
-    (b"HTTP/1.1 \xb2\r\n", feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n", feed.Unreadable),
-    (b"HELLO\r\n", feed.Unreadable), (b"HTTP/1.1 abc\r\n", feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nnonsense\r\n", feed.Unreadable), (b"x" * 9000, feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\n", feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", feed.Unreadable),
-])
+@pytest.mark.parametrize(
+    ("data", "result"),
+    [
+        (WHOLE, feed.Reply(200, BODY, True)),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE, feed.Reply(200, BODY, True)),
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length:19\r\nConnection: Close\r\n\r\n" + BODY,
+            feed.Reply(200, BODY, False),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n"
+            + BODY[:5]
+            + b"\r\ne;x=1\r\n"
+            + BODY[5:]
+            + b"\r\n0\r\nTrailer: x\r\n\r\n",
+            feed.Reply(200, BODY, True),
+        ),
+        (b"HTTP/1.1 204 None\r\n\r\n", feed.Reply(204, b"", True)),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", feed.Reply(503, b"", True)),
+        (b"HTTP/1.1 \xb2\r\n", feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n", feed.Unreadable),
+        (b"HELLO\r\n", feed.Unreadable),
+        (b"HTTP/1.1 abc\r\n", feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nnonsense\r\n", feed.Unreadable),
+        (b"x" * 9000, feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\n", feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", feed.Unreadable),
+    ],
+)
 def test_an_answer_of_the_feed(data, result, size):
     reader, got = feed.ReplyReader(Pool()), None
     for piece in pieces(data, size):
@@ -316,12 +367,16 @@
     assert got == result if isinstance(result, feed.Reply) else isinstance(got, result)
 
 
-@pytest.mark.parametrize(("data", "result"), [
-    (b"HTTP/1.1 200 OK\r\n\r\n" + BODY, feed.Reply(200, BODY, False)),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + BODY, feed.Unreadable),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", feed.Unreadable),
-    (b"HTTP/1.1 2", feed.Unreadable), (b"", feed.Unreadable),
-])
+@pytest.mark.parametrize(
+    ("data", "result"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n" + BODY, feed.Reply(200, BODY, False)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + BODY, feed.Unreadable),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", feed.Unreadable),
+        (b"HTTP/1.1 2", feed.Unreadable),
+        (b"", feed.Unreadable),
+    ],
+)
 def test_a_connection_that_ends_ends_the_answer(data, result):
     reader = feed.ReplyReader(Pool())
     assert reader.feed(data) is None
@@ -337,12 +392,22 @@
     return {"n": number, "members": {"revision": 1, "complete": complete, "members": list(rows)}}
 
 
-@pytest.mark.parametrize("told", [
-    b"", b"[]", b"{}", b'{"events":5}', b'{"events":[5]}', {"events": [event(1, row(phase="WHAT"))]},
-    {"events": [event(1, row(host_port="nowhere"))]}, {"events": [event(1, row(host_port="127.0.0.1:0"))]},
-    {"events": [event(1, row(host_port="a.name:9"))]}, {"events": [event(1, row(host_port="127.0.0.1:x"))]},
-    {"events": [event(1, {"id": "e"})]},
-])
+@pytest.mark.parametrize(
+    "told",
+    [
+        b"",
+        b"[]",
+        b"{}",
+        b'{"events":5}',
+        b'{"events":[5]}',
+        {"events": [event(1, row(phase="WHAT"))]},
+        {"events": [event(1, row(host_port="nowhere"))]},
+        {"events": [event(1, row(host_port="127.0.0.1:0"))]},
+        {"events": [event(1, row(host_port="a.name:9"))]},
+        {"events": [event(1, row(host_port="127.0.0.1:x"))]},
+        {"events": [event(1, {"id": "e"})]},
+    ],
+)
 def test_nonsense_from_the_feed_changes_nothing(told):
     assert isinstance(feed.parse(told, {}, {}), feed.Unreadable)
 
@@ -352,17 +417,31 @@
     changes = feed.parse(told, {"a": 0, "b": 1}, {"k": 0})
     entry = changes[0].members[0].entry(5)
     assert (entry.engine, entry.location, entry.kind, entry.cell, entry.weight, entry.started) == (
-        5, 1, 0, 2, 1.0, 70)
+        5,
+        1,
+        0,
+        2,
+        1.0,
+        70,
+    )
     assert (changes[0].members[0].size, changes[0].members[0].weight) == (1.5, None)  # a size is no weight
     assert entry.state is EngineState.DRAINING and changes[1] == feed.Change(2, False, [])
     unknown = feed.parse({"events": [event(1, row(locality="z", flavor="z"))]}, {"a": 0}, {"k": 0})
     assert (unknown[0].members[0].location, unknown[0].members[0].kind) == (1, 1)
 
 
-@pytest.mark.parametrize(("held", "numbers", "applied", "gap"), [
-    (0, [1, 2, 3], [1, 2, 3], False), (2, [1, 2, 3], [3], False), (3, [1, 2, 3], [], False),
-    (2, [4, 5], [], True), (2, [3, 5], [3], True), (2, [4, 3], [3, 4], False), (2, [-9], [9], False),
-])
+@pytest.mark.parametrize(
+    ("held", "numbers", "applied", "gap"),
+    [
+        (0, [1, 2, 3], [1, 2, 3], False),
+        (2, [1, 2, 3], [3], False),
+        (3, [1, 2, 3], [], False),
+        (2, [4, 5], [], True),
+        (2, [3, 5], [3], True),
+        (2, [4, 3], [3, 4], False),
+        (2, [-9], [9], False),
+    ],
+)
 def test_events_are_applied_once_and_a_gap_is_noticed(held, numbers, applied, gap):
     numbering = feed.Numbering()
     numbering.held = held
@@ -373,41 +452,56 @@
 
 # Statements.
 
-@pytest.mark.parametrize(("statement", "groups"), [
-    ("SELECT * FROM sales_17.orders", [17]),
-    ("select o.a from SALES_17.Orders o where o.b = 'from other_9.x'", [17]),
-    ("SELECT * FROM \"sales_17\".\"orders\"", [17]),
-    ("SELECT * FROM \"odd name_17\".t", [17]), ("SELECT * FROM 'sales_17'.x", []),
-    ("SELECT 'it''s from a_1.t', x -- from b_2.t\nFROM c_3.t /* , d_4.t */", [3]),
-    ("SELECT x /* never closed FROM c_3.t", []), ("SELECT 'never closed FROM c_3.t", []),
-    ("SELECT a_1.x, b_2.y FROM c_3.t a_1 JOIN d_4.t AS b_2 ON a_1.id = b_2.id", [3, 4]),
-    ("SELECT * FROM a_1.t x, b_2.t AS y, c_3.t WHERE x.k_9 = y.k_9", [1, 2, 3]),
-    ("SELECT * FROM (SELECT * FROM a_1.t, b_2.t) s, c_3.t", [1, 2, 3]),
-    ("SELECT * FROM (a_1.t JOIN b_2.t USING (id))", [1, 2]),
-    ("INSERT INTO sales_5.t (a, b) SELECT a, b FROM staging.load_7", [5]),
-    ("INSERT INTO sales_5.t SELECT * FROM sales_6.t", [5, 6]),
-    ("INSERT INTO sales_5.t VALUES (1, 'x_1.y'), (2, 'z')", [5]),
-    ("WITH s AS (SELECT * FROM a_8.t) INSERT INTO b_9.t SELECT * FROM s", [9, 8]),
-    ("UPDATE sales_5.t SET a_7.x = 1 WHERE EXISTS (SELECT 1 FROM b_6.t)", [5, 6]),
-    ("DELETE FROM sales_5.t WHERE id IN (SELECT id FROM staging.t)", [5]),
-    ("MERGE INTO a_1.t USING b_2.s ON t.id = s.id WHEN MATCHED THEN UPDATE SET x = s.x", [1, 2]),
-    ("CREATE TABLE IF NOT EXISTS a_1.t AS SELECT * FROM b_2.t", [1, 2]),
-    ("TRUNCATE TABLE a_1.t", [1]), ("INSERT OVERWRITE TABLE a_1.t SELECT 1", [1]),
-    ("COPY INTO a_1.t FROM staging.files", [1]),
-    ("SELECT EXTRACT(YEAR FROM a_1.day), TRIM(BOTH FROM a_1.n) FROM b_2.t a_1", [2]),
-    ("SELECT * FROM db.sales_4.orders", [4]), ("SELECT * FROM sales_4_12.t", [12]),
-    ("SELECT * FROM a_" + "9" * 5000 + ".t", []), ("SELECT * FROM a_\u00b2.t", []),
-    ("SELECT * FROM staging.orders", []), ("SELECT * FROM STAGING.x_3", []), ("SELECT * FROM sales.t", []),
-    ("SELECT * FROM orders_17", []), ("SELECT 1", []), ("", []), (")))(((,.,.;''\"", []),
-    ("SELECT * FROM sales_x1.t", []), ("SELECT 1.5 FROM a_1.t WHERE x IN (1, 2)", [1]),
-    ("SELECT * FROM a_1.t GROUP BY b_2.x, c_3.y ORDER BY d_4.z", [1]),
-    ("SELECT * FROM a_1.t LEFT JOIN LATERAL (SELECT * FROM b_2.t) s ON true", [1, 2]),
-])
+
+@pytest.mark.parametrize(
+    ("statement", "groups"),
+    [
+        ("SELECT * FROM sales_17.orders", [17]),
+        ("select o.a from SALES_17.Orders o where o.b = 'from other_9.x'", [17]),
+        ('SELECT * FROM "sales_17"."orders"', [17]),
+        ('SELECT * FROM "odd name_17".t', [17]),
+        ("SELECT * FROM 'sales_17'.x", []),
+        ("SELECT 'it''s from a_1.t', x -- from b_2.t\nFROM c_3.t /* , d_4.t */", [3]),
+        ("SELECT x /* never closed FROM c_3.t", []),
+        ("SELECT 'never closed FROM c_3.t", []),
+        ("SELECT a_1.x, b_2.y FROM c_3.t a_1 JOIN d_4.t AS b_2 ON a_1.id = b_2.id", [3, 4]),
+        ("SELECT * FROM a_1.t x, b_2.t AS y, c_3.t WHERE x.k_9 = y.k_9", [1, 2, 3]),
+        ("SELECT * FROM (SELECT * FROM a_1.t, b_2.t) s, c_3.t", [1, 2, 3]),
+        ("SELECT * FROM (a_1.t JOIN b_2.t USING (id))", [1, 2]),
+        ("INSERT INTO sales_5.t (a, b) SELECT a, b FROM staging.load_7", [5]),
+        ("INSERT INTO sales_5.t SELECT * FROM sales_6.t", [5, 6]),
+        ("INSERT INTO sales_5.t VALUES (1, 'x_1.y'), (2, 'z')", [5]),
+        ("WITH s AS (SELECT * FROM a_8.t) INSERT INTO b_9.t SELECT * FROM s", [9, 8]),
+        ("UPDATE sales_5.t SET a_7.x = 1 WHERE EXISTS (SELECT 1 FROM b_6.t)", [5, 6]),
+        ("DELETE FROM sales_5.t WHERE id IN (SELECT id FROM staging.t)", [5]),
+        ("MERGE INTO a_1.t USING b_2.s ON t.id = s.id WHEN MATCHED THEN UPDATE SET x = s.x", [1, 2]),
+        ("CREATE TABLE IF NOT EXISTS a_1.t AS SELECT * FROM b_2.t", [1, 2]),
+        ("TRUNCATE TABLE a_1.t", [1]),
+        ("INSERT OVERWRITE TABLE a_1.t SELECT 1", [1]),
+        ("COPY INTO a_1.t FROM staging.files", [1]),
+        ("SELECT EXTRACT(YEAR FROM a_1.day), TRIM(BOTH FROM a_1.n) FROM b_2.t a_1", [2]),
+        ("SELECT * FROM db.sales_4.orders", [4]),
+        ("SELECT * FROM sales_4_12.t", [12]),
+        ("SELECT * FROM a_" + "9" * 5000 + ".t", []),
+        ("SELECT * FROM a_\u00b2.t", []),
+        ("SELECT * FROM staging.orders", []),
+        ("SELECT * FROM STAGING.x_3", []),
+        ("SELECT * FROM sales.t", []),
+        ("SELECT * FROM orders_17", []),
+        ("SELECT 1", []),
+        ("", []),
+        (")))(((,.,.;''\"", []),
+        ("SELECT * FROM sales_x1.t", []),
+        ("SELECT 1.5 FROM a_1.t WHERE x IN (1, 2)", [1]),
+        ("SELECT * FROM a_1.t GROUP BY b_2.x, c_3.y ORDER BY d_4.z", [1]),
+        ("SELECT * FROM a_1.t LEFT JOIN LATERAL (SELECT * FROM b_2.t) s ON true", [1, 2]),
+    ],
+)
 def test_table_groups(statement, groups):
     assert table_groups(statement) == groups and table_group(statement) == (groups or [0])[0]
 
 
-@pytest.mark.parametrize("part", ["(from ", "from ", "'a''", "/*", "a.", "((", "join(", "x_1.", "\"a\"."])
+@pytest.mark.parametrize("part", ["(from ", "from ", "'a''", "/*", "a.", "((", "join(", "x_1.", '"a".'])
 def test_the_longest_statement_is_gone_through_once(part):
     """At each FROM the lexer looked back for its bracket: the longest frame held the loop for minutes."""
     assert table_groups(part * (frames.LONGEST // len(part))) in ([], [1])
@@ -415,6 +509,7 @@
 
 # Time.
 
+
 @pytest.mark.parametrize(("before", "after", "group"), [("", "1," * 100_000, 1), (" " * BLOCK, "", 0)])
 def test_only_the_beginning_of_a_statement_is_gone_through(before, after, group):
     """Bad clients can ask for the longest as often as they like, and each took half a second."""
--- a/tests/test_members_parts.py
+++ b/tests/test_members_parts.py
@@ -19,8 +19,17 @@
 
 
 def row(name="e-1", **other):
-    return {"id": name, "host_port": "10.1.0.9:6565", "locality": "west", "flavor": "std", "cell": 2,
-        "phase": "SERVING", "size": 4, "up_since_ms": 7, **other}
+    return {
+        "id": name,
+        "host_port": "10.1.0.9:6565",
+        "locality": "west",
+        "flavor": "std",
+        "cell": 2,
+        "phase": "SERVING",
+        "size": 4,
+        "up_since_ms": 7,
+        **other,
+    }
 
 
 def text(*rows, **other):
@@ -28,8 +37,9 @@
 
 
 def test_a_list_file_in_the_feed_s_terms():
-    found = records.read(text(row(weight=50), row("e-2", host_port="10.1.0.9:1", phase="DRAINING"), count=2),
-        *PLACES)
+    found = records.read(
+        text(row(weight=50), row("e-2", host_port="10.1.0.9:1", phase="DRAINING"), count=2), *PLACES
+    )
     assert isinstance(found, EngineList) and found.revision == 7
     one, two = found.members["e-1"], found.members["e-2"]
     assert (one.location, one.kind, one.cell, one.size, one.started, one.weight) == (1, 0, 2, 4.0, 70, 0.5)
@@ -130,19 +140,30 @@
     assert found.console == "/run/x" and not options.subsystems(written(tmp_path, ""))
 
 
-@pytest.mark.parametrize(("old", "new", "line", "says"), [('stale_after = "20s"', "stale_after = 20", 3,
-    'expected a time such as "30s"'), ('stale_after = "20s"', 'stale_after = "20 days"', 3,
-    "expected a time"), ('stale_after = "20s"', 'stale = "20s"', 3, "stale in feed, expected one of"),
-    ("most_lost = 0.5", "most_lost = 1.5", 8, "most_lost: Expected `float` <= 1"), ("most_lost = 0.5",
-    'most_lost = "a"', 8, "Expected `float`, got `str`"), ("complete = true", "complete = 1", 6,
-    "Expected `bool`"), ('"/etc/engines.json", ', '"engines.json", ', 5, "whole paths"), ('paths = ["/o"]',
-    "", 13, "whole paths"), ('paths = ["/o"]', 'paths = ["${x}"]', 14, "a plain value"), ('files "other"',
-    'files "main"', 13, "a second files main"), ('files "other"', "files", 13, "a name of its own"),
-    ("precedence = 15", "precedence = -1", 15, "0 or more"), ("precedence = 15",
-    "precedence = 15\nprecedence = 16", 16, "a second precedence"), ('folder = "/var/lib/vanerelay"', "", 18,
-    "store: no folder"), ('socket = "/run/x"', "", 19, "console: no socket"), ("flapping {", "flaping {", 17,
-    "flaping in membership"), ("flapping {", "flapping = {", 17, "flapping is a block"), ("flapping {",
-    "flapping { {", 17, "not HCL"), ("membership {", "members {", 2, "members in the file")])
+@pytest.mark.parametrize(
+    ("old", "new", "line", "says"),
+    [
+        ('stale_after = "20s"', "stale_after = 20", 3, 'expected a time such as "30s"'),
+        ('stale_after = "20s"', 'stale_after = "20 days"', 3, "expected a time"),
+        ('stale_after = "20s"', 'stale = "20s"', 3, "stale in feed, expected one of"),
+        ("most_lost = 0.5", "most_lost = 1.5", 8, "most_lost: Expected `float` <= 1"),
+        ("most_lost = 0.5", 'most_lost = "a"', 8, "Expected `float`, got `str`"),
+        ("complete = true", "complete = 1", 6, "Expected `bool`"),
+        ('"/etc/engines.json", ', '"engines.json", ', 5, "whole paths"),
+        ('paths = ["/o"]', "", 13, "whole paths"),
+        ('paths = ["/o"]', 'paths = ["${x}"]', 14, "a plain value"),
+        ('files "other"', 'files "main"', 13, "a second files main"),
+        ('files "other"', "files", 13, "a name of its own"),
+        ("precedence = 15", "precedence = -1", 15, "0 or more"),
+        ("precedence = 15", "precedence = 15\nprecedence = 16", 16, "a second precedence"),
+        ('folder = "/var/lib/vanerelay"', "", 18, "store: no folder"),
+        ('socket = "/run/x"', "", 19, "console: no socket"),
+        ("flapping {", "flaping {", 17, "flaping in membership"),
+        ("flapping {", "flapping = {", 17, "flapping is a block"),
+        ("flapping {", "flapping { {", 17, "not HCL"),
+        ("membership {", "members {", 2, "members in the file"),
+    ],
+)
 def test_what_is_wrong_with_options_is_told_by_file_and_line(tmp_path, old, new, line, says):
     assert old in GOOD
     path = written(tmp_path, GOOD.replace(old, new))
@@ -153,8 +174,9 @@
 
 
 def test_the_example_that_is_delivered_can_be_used():
-    assert options.subsystems(os.path.join(os.path.dirname(__file__), "..", "deploy",
-        "operator.hcl"))["membership"].watched
+    assert options.subsystems(os.path.join(os.path.dirname(__file__), "..", "deploy", "operator.hcl"))[
+        "membership"
+    ].watched
 
 
 # The console's lines.
@@ -168,10 +190,19 @@
     assert (whole[0].op, whole[1].op, whole[1].revision, whole[1].source) == ("show", "pin", 4, "m")
 
 
-@pytest.mark.parametrize(("data", "says", "last"), [(b"nonsense\n", "malformed", False),
-    (b'{"v":2,"op":"show"}\n', "version 2, expected 1", False), (b'{"v":1,"op":"rm"}\n', "op", False),
-    (b'{"v":1,"op":"show","x":1}\n', "x", False), (b"\n", "", False), (b"a" * 5000, "too long", True),
-    (b"a" * 5000 + b"\n", "too long", True), (b"\xff\n", "", False)])
+@pytest.mark.parametrize(
+    ("data", "says", "last"),
+    [
+        (b"nonsense\n", "malformed", False),
+        (b'{"v":2,"op":"show"}\n', "version 2, expected 1", False),
+        (b'{"v":1,"op":"rm"}\n', "op", False),
+        (b'{"v":1,"op":"show","x":1}\n', "x", False),
+        (b"\n", "", False),
+        (b"a" * 5000, "too long", True),
+        (b"a" * 5000 + b"\n", "too long", True),
+        (b"\xff\n", "", False),
+    ],
+)
 def test_console_lines_that_cannot_be_answered(data, says, last):
     (found,) = console.Lines().feed(data)
     assert isinstance(found, console.Wrong) and says in found.why and found.last is last
@@ -181,8 +212,15 @@
 
 
 def held(revision, *names):
-    return {"/f": records.read(text(*(row(n, host_port=f"10.1.0.9:{1 + place}") for place,
-        n in enumerate(names)), revision=revision), *PLACES)}
+    return {
+        "/f": records.read(
+            text(
+                *(row(n, host_port=f"10.1.0.9:{1 + place}") for place, n in enumerate(names)),
+                revision=revision,
+            ),
+            *PLACES,
+        )
+    }
 
 
 def save(at, revision, *names):
@@ -242,9 +280,16 @@
         other.execute("PRAGMA user_version = 9")
 
 
-@pytest.mark.parametrize(("make", "says", "aside"), [(lambda path: path.write_bytes(b"some text"),
-    "left alone", False), (foreign, "left alone", False), (later, "left alone", False), (torn, "set aside",
-    True), (lambda path: path.mkdir(), "", False)])
+@pytest.mark.parametrize(
+    ("make", "says", "aside"),
+    [
+        (lambda path: path.write_bytes(b"some text"), "left alone", False),
+        (foreign, "left alone", False),
+        (later, "left alone", False),
+        (torn, "set aside", True),
+        (lambda path: path.mkdir(), "", False),
+    ],
+)
 def test_a_torn_or_foreign_file_is_refused_with_one_line(tmp_path, make, says, aside):
     path = tmp_path / store.FILE
     make(path)
--- a/tests/test_members_sockets.py
+++ b/tests/test_members_sockets.py
@@ -42,8 +42,9 @@
 
     def text(self, *rows, revision=None):
         self.revision += 1
-        return json.dumps({"revision": self.revision if revision is None else revision,
-            "members": list(rows)})
+        return json.dumps(
+            {"revision": self.revision if revision is None else revision, "members": list(rows)}
+        )
 
     def put(self, *rows, revision=None, path=None):
         """A list, by renaming a whole file over the old one."""
@@ -53,9 +54,14 @@
         return time.monotonic()
 
     def ask(self, *words, code=0):
-        told = subprocess.run([sys.executable, "-m", "vanerelay", "members", *words], cwd=ROOT,
-            capture_output=True, text=True, env={**os.environ, "VANERELAY_CONSOLE": str(self.console)},
-            check=False)
+        told = subprocess.run(
+            [sys.executable, "-m", "vanerelay", "members", *words],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            env={**os.environ, "VANERELAY_CONSOLE": str(self.console)},
+            check=False,
+        )
         assert told.returncode == code, told.stderr + told.stdout
         return told.stdout if code == 0 else told.stderr
 
@@ -180,8 +186,9 @@
     (site.lists / "next").rename(site.lists / "data")
 
 
-@pytest.mark.parametrize("write", [renamed, in_place, over, recreated, folder_anew, folder_moved,
-    link_swapped])
+@pytest.mark.parametrize(
+    "write", [renamed, in_place, over, recreated, folder_anew, folder_moved, link_swapped]
+)
 def test_every_kind_of_writer_and_no_new_work_for_a_removed_engine(site, write):
     s = site()
     one, two = s.engine(), s.engine()
@@ -207,8 +214,14 @@
     until(lambda: len(s.engines()) == 4, "the engines")
     whole = s.text(*rows)
     stream = 0
-    for bad, says in ((whole[:-20], "line 1"), ("", "line 1"), (s.text(), "empty"), (s.text(*rows, rows[0]),
-        "second"), (s.text(*rows, revision=0), "revision 0"), (s.text(*rows[:2]), "2 of 4")):
+    for bad, says in (
+        (whole[:-20], "line 1"),
+        ("", "line 1"),
+        (s.text(), "empty"),
+        (s.text(*rows, rows[0]), "second"),
+        (s.text(*rows, revision=0), "revision 0"),
+        (s.text(*rows[:2]), "2 of 4"),
+    ):
         s.path.write_text(bad)
         until(lambda says=says: says in str(s.trouble()), says)
         stream += 1
@@ -333,9 +346,14 @@
     assert s.node.log.read_text().count("files are polled") == 1
 
 
-@pytest.mark.parametrize(("options", "says"), [("membership {\n", "line"),
-    ("membership {\nfeed {\nstale_after = 3\n}\n}\n", "line 3: stale_after"),
-    ('membership {\nconsole {\nsocket = "/proc/none/x"\n}\n}\n', "the console: /proc/none/x")])
+@pytest.mark.parametrize(
+    ("options", "says"),
+    [
+        ("membership {\n", "line"),
+        ("membership {\nfeed {\nstale_after = 3\n}\n}\n", "line 3: stale_after"),
+        ('membership {\nconsole {\nsocket = "/proc/none/x"\n}\n}\n', "the console: /proc/none/x"),
+    ],
+)
 def test_options_that_cannot_be_used_stop_the_start_with_one_line(tmp_path, options, says):
     feed = Feed()
     with pytest.raises(AssertionError, match=says):
@@ -351,16 +369,27 @@
     bad.write_text(one.read_text()[:-4])
 
     def members(*words):
-        told = subprocess.run([sys.executable, "-m", "vanerelay", "members", *map(str, words)], cwd=ROOT,
-            capture_output=True, text=True, check=False)
+        told = subprocess.run(
+            [sys.executable, "-m", "vanerelay", "members", *map(str, words)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
         return told.returncode, told.stdout, told.stderr
 
-    assert members("check", one, two) == (0, f"{one}: revision 1, 2 engines\n{two}: revision 2, 2 engines\n",
-        "")
+    assert members("check", one, two) == (
+        0,
+        f"{one}: revision 1, 2 engines\n{two}: revision 2, 2 engines\n",
+        "",
+    )
     code, out, err = members("check", "--json", one, bad)
     assert code == 2 and err.startswith(f"vanerelay: {bad}: line 1") and err.count("\n") == 1
     assert [json.loads(line)["ok"] for line in out.splitlines()] == [True, False]
-    assert members("diff", one, two) == (1, "~ a: state up to draining\n- b: 127.0.0.1:2\n+ c: 127.0.0.1:3\n",
-        "")
+    assert members("diff", one, two) == (
+        1,
+        "~ a: state up to draining\n- b: 127.0.0.1:2\n+ c: 127.0.0.1:3\n",
+        "",
+    )
     assert members("diff", one, one)[0] == 0 and members("diff", one, bad)[0] == 2
     assert members("show", "--socket", tmp_path / "none")[0] == 2
--- a/tests/test_members_view.py
+++ b/tests/test_members_view.py
@@ -23,8 +23,19 @@
 
 
 def engine(name, address=None, state=UP, **other):
-    return Member(**{"name": name, "address": address or f"127.0.0.1:{1000 + ord(name[-1])}", "state": state,
-        "location": 0, "kind": 0, "cell": 0, "size": 1.0, "started": 0, **other})
+    return Member(
+        **{
+            "name": name,
+            "address": address or f"127.0.0.1:{1000 + ord(name[-1])}",
+            "state": state,
+            "location": 0,
+            "kind": 0,
+            "cell": 0,
+            "size": 1.0,
+            "started": 0,
+            **other,
+        }
+    )
 
 
 def listed(revision, *members, digest=None):
@@ -44,13 +55,22 @@
     return made
 
 
-@pytest.mark.parametrize(("offered", "kind", "why"), [(listed(2, *TEN), Kind.ACCEPTED, ""), (listed(2,
-    *TEN[:7]), Kind.ACCEPTED, ""), (listed(2, *TEN[:6]), Kind.HELD, "4 of 10"), (listed(2, *(engine(n,
-    state=DRAINING) for n in TEN)), Kind.HELD, "10 of 10"), (listed(2, *(engine(n, weight=0.0) for n in TEN)),
-    Kind.HELD, "10 of 10"), (listed(2), Kind.REFUSED, "empty"), (listed(2, *(engine(n,
-    state=GONE) for n in TEN)), Kind.REFUSED, "empty"), (listed(0, *TEN), Kind.REFUSED, "revision 0 after 1"),
-    (listed(1, *TEN[:9]), Kind.REFUSED, "under revision 1"), (Unusable("line 3: cut off"), Kind.REFUSED,
-    "line 3"), (listed(2, *TEN, *(f"x{n}" for n in "abc")), Kind.REFUSED, "12 at most")])
+@pytest.mark.parametrize(
+    ("offered", "kind", "why"),
+    [
+        (listed(2, *TEN), Kind.ACCEPTED, ""),
+        (listed(2, *TEN[:7]), Kind.ACCEPTED, ""),
+        (listed(2, *TEN[:6]), Kind.HELD, "4 of 10"),
+        (listed(2, *(engine(n, state=DRAINING) for n in TEN)), Kind.HELD, "10 of 10"),
+        (listed(2, *(engine(n, weight=0.0) for n in TEN)), Kind.HELD, "10 of 10"),
+        (listed(2), Kind.REFUSED, "empty"),
+        (listed(2, *(engine(n, state=GONE) for n in TEN)), Kind.REFUSED, "empty"),
+        (listed(0, *TEN), Kind.REFUSED, "revision 0 after 1"),
+        (listed(1, *TEN[:9]), Kind.REFUSED, "under revision 1"),
+        (Unusable("line 3: cut off"), Kind.REFUSED, "line 3"),
+        (listed(2, *TEN, *(f"x{n}" for n in "abc")), Kind.REFUSED, "12 at most"),
+    ],
+)
 def test_a_file_is_taken_whole_or_leaves_all_as_it_was(offered, kind, why):
     one = lists(listed(1, *TEN), most_members=12)
     before = one.in_force
@@ -126,8 +146,15 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.lists(st.sampled_from([Unusable("x"), listed(0, *TEN), listed(1, *TEN[:3]), listed(5), listed(5,
-    *TEN[:2])]), max_size=8), st.data())
+@given(
+    st.lists(
+        st.sampled_from(
+            [Unusable("x"), listed(0, *TEN), listed(1, *TEN[:3]), listed(5), listed(5, *TEN[:2])]
+        ),
+        max_size=8,
+    ),
+    st.data(),
+)
 def test_no_sequence_of_refused_files_changes_anything(offers, data):
     one = lists(listed(1, *TEN), confirm_after=0)
     for number, offer in enumerate(offers):
@@ -288,10 +315,14 @@
     s.tell("files", *(engine(f"e{n}", f"127.0.0.1:{n + 1}") for n in range(100)))
     s.show()
     s.order.clear()
-    s.tell("files", *(engine(f"n{n}", f"127.0.0.1:{n + 1}") for n in range(40)), *(engine(f"e{n}",
-        f"127.0.0.1:{n + 1}", DRAINING) for n in range(40, 50)), *(engine(f"e{n}", f"127.0.0.1:{n + 1}",
-        cell=7) for n in range(50, 60)), *(engine(f"e{n}", f"127.0.0.1:{n + 1}",
-        weight=1.5) for n in range(60, 70)), off=tuple(f"e{n}" for n in range(40)))
+    s.tell(
+        "files",
+        *(engine(f"n{n}", f"127.0.0.1:{n + 1}") for n in range(40)),
+        *(engine(f"e{n}", f"127.0.0.1:{n + 1}", DRAINING) for n in range(40, 50)),
+        *(engine(f"e{n}", f"127.0.0.1:{n + 1}", cell=7) for n in range(50, 60)),
+        *(engine(f"e{n}", f"127.0.0.1:{n + 1}", weight=1.5) for n in range(60, 70)),
+        off=tuple(f"e{n}" for n in range(40)),
+    )
     s.show(most=7)
     worse = [shown.member.state is not UP or shown.member.cell == 7 for shown in s.order]
     assert worse == [True] * 60 + [False] * 50 and len(s.out) == 100
@@ -310,8 +341,9 @@
         assert ("a" in s.show(now)) == (turn < 2), turn
     assert "held back" in s.view.explain(now, "a")[1].why
     due = s.view.due()
-    assert (due == now - SECOND + 30 * SECOND and set(s.show(due - 1)) == {"b"} and set(s.show(due)) == {"a",
-        "b"})
+    assert (
+        due == now - SECOND + 30 * SECOND and set(s.show(due - 1)) == {"b"} and set(s.show(due)) == {"a", "b"}
+    )
     s.tell("feed", engine("a", state=DRAINING), now=due)
     assert s.show(due)["a"].state is DRAINING
 
@@ -328,8 +360,12 @@
 
 
 THIRD = Standing("third", 15, authoritative=False)
-WORDS = st.tuples(st.sampled_from("abc"), st.sampled_from(["up", "drain", "off", "gone"]), st.integers(1, 3),
-    st.integers(0, 1))
+WORDS = st.tuples(
+    st.sampled_from("abc"),
+    st.sampled_from(["up", "drain", "off", "gone"]),
+    st.integers(1, 3),
+    st.integers(0, 1),
+)
 
 
 @settings(max_examples=300, deadline=None)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -1,4 +1,5 @@
 """What deployments of another shape ask of the module, and a switch of settings in it."""
+
 from __future__ import annotations
 
 import dataclasses
@@ -9,16 +10,31 @@
 from vanerelay import checks
 from vanerelay.decide import Gateway, Peaks
 from vanerelay.interface import (
-    SECOND, AttemptResult, ColdStart, GatewaySettings, MachineKind, NoteKind, Outcome, RationTerms)
+    SECOND,
+    AttemptResult,
+    ColdStart,
+    GatewaySettings,
+    MachineKind,
+    NoteKind,
+    Outcome,
+    RationTerms,
+)
 
 NOTES, LOOK = {"cancel": True, "notes_every": SECOND // 2}, SERVICES["classes"][0]
 
 
-@pytest.mark.parametrize(("allowed", "limit", "shares", "sends"), [
-    (NOTES, 60, (0.05, 0.06, 0.07), 2), (NOTES, 10, (0.4, 0.5, 0.6), 1),  # a bad plan; a poor estimate
-    (NOTES, 2.1, (0.4, 0.5, 0.6), 0),  # cannot end in time, nor can another: answered at once
-    (NOTES, 10, (0.4,), 2), (NOTES, 10, (), 1),  # the notes have stopped; none has ever come
-    ({"cancel": False, "notes_every": 5000}, 10, (0.02,), 1), ({"cancel": True}, 10, (0.02,), 1)])
+@pytest.mark.parametrize(
+    ("allowed", "limit", "shares", "sends"),
+    [
+        (NOTES, 60, (0.05, 0.06, 0.07), 2),
+        (NOTES, 10, (0.4, 0.5, 0.6), 1),  # a bad plan; a poor estimate
+        (NOTES, 2.1, (0.4, 0.5, 0.6), 0),  # cannot end in time, nor can another: answered at once
+        (NOTES, 10, (0.4,), 2),
+        (NOTES, 10, (), 1),  # the notes have stopped; none has ever come
+        ({"cancel": False, "notes_every": 5000}, 10, (0.02,), 1),
+        ({"cancel": True}, 10, (0.02,), 1),
+    ],
+)
 def test_notes_end_what_another_dispatch_overtakes_and_what_is_lost(allowed, limit, shares, sends):
     """Seen at vpis-ljubljana: one report in ten ran 9 to 20 times as long; lost answers held their slices."""
     world = World(allowed=allowed, goal=2 * SECOND)
@@ -42,9 +58,16 @@
         assert size <= grant < 1.2 * size and holds <= peaks.holds(1, 0, 5, 1000.0, grant) < 1.2 * holds
 
 
-@pytest.mark.parametrize(("slowdowns", "usual", "level", "lent"), [
-    ([], 0.0, 1.0, 0.02), ([1.4] * 20, 0.0, 1.0, 0.39), ([10.0] * 30, 2.3, 1.0, 0.02),
-    ([10.0] * 30, 0.0, 0.15, 0.02), ([10.0] * 30 + [1.0] * 30, 0.0, 1.0, 0.5)])
+@pytest.mark.parametrize(
+    ("slowdowns", "usual", "level", "lent"),
+    [
+        ([], 0.0, 1.0, 0.02),
+        ([1.4] * 20, 0.0, 1.0, 0.39),
+        ([10.0] * 30, 2.3, 1.0, 0.02),
+        ([10.0] * 30, 0.0, 0.15, 0.02),
+        ([10.0] * 30 + [1.0] * 30, 0.0, 1.0, 0.5),
+    ],
+)
 def test_pace_moves_the_level_beside_the_rest_and_what_is_lent(slowdowns, usual, level, lent):
     engine = World(engines=1, gateways=50).gateway._engines[0]
     for slowdown in slowdowns:
@@ -72,8 +95,13 @@
     """Has another gateway take over in this world, under other settings; the one before it."""
     old, groups = world.gateway, [dataclasses.replace(world.group, **group), GROUP]
     cold = ColdStart(0.3, 10 * SECOND, 2.0, SECOND)
-    world.gateway = Gateway(world, 7, GatewaySettings(
-        groups, [MachineKind(16, memory)], old._place, ALLOWED, cold, RationTerms(0, 0, 0.0), SECOND, 50))
+    world.gateway = Gateway(
+        world,
+        7,
+        GatewaySettings(
+            groups, [MachineKind(16, memory)], old._place, ALLOWED, cold, RationTerms(0, 0, 0.0), SECOND, 50
+        ),
+    )
     world.gateway.succeed(old)
     return old
 
@@ -117,11 +145,21 @@
         assert [len(batch.sends) for batch in second] == [sends, sends]
 
 
-@pytest.mark.parametrize(("change", "words"), [
-    ({"classes": []}, "classes: not told"), ({"classes": [LOOK, 2]}, "classes[1]: 2, expected an object"),
-    ({"classes": [{**LOOK, "semantics": "once"}]}, "classes[0].semantics: 'once', expected one of"),
-    ({"classes": [{**LOOK, "kindsOnly": [1]}]}, "classes[0].kindsOnly[0]: 1, expected a place among the 1"),
-    ({"familyInfo": {"cpuOfKind": 4}}, "cpuOfKind: 4, expected a list"), ({"limits": [], "new": 1}, "None"),
-    ({"classes": [{**LOOK, "aimUs": 0}]}, "aimUs: 0"), ({"limits": {"peers": 1}}, "limits.peers: 1")])
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"classes": []}, "classes: not told"),
+        ({"classes": [LOOK, 2]}, "classes[1]: 2, expected an object"),
+        ({"classes": [{**LOOK, "semantics": "once"}]}, "classes[0].semantics: 'once', expected one of"),
+        (
+            {"classes": [{**LOOK, "kindsOnly": [1]}]},
+            "classes[0].kindsOnly[0]: 1, expected a place among the 1",
+        ),
+        ({"familyInfo": {"cpuOfKind": 4}}, "cpuOfKind: 4, expected a list"),
+        ({"limits": [], "new": 1}, "None"),
+        ({"classes": [{**LOOK, "aimUs": 0}]}, "aimUs: 0"),
+        ({"limits": {"peers": 1}}, "limits.peers: 1"),
+    ],
+)
 def test_wrong_settings_are_named(change, words):
     assert words in str(checks.wrong({**SERVICES, **change}))
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -63,12 +63,7 @@
 
 @pytest.mark.parametrize(
     "loss, within",
-    [
-        (Loss(late=0.2), 40),
-        (Loss(late=0.08), 200),
-        (Loss(errored=0.1), 60),
-        (Loss(slower=3.0), 40),
-    ],
+    [(Loss(late=0.2), 40), (Loss(late=0.08), 200), (Loss(errored=0.1), 60), (Loss(slower=3.0), 40)],
 )
 def test_a_loss_is_found_in_time(loss, within):
     for seed in range(5):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,4 +1,5 @@
 """The program, started as operators start it, between stand-ins on loopback sockets."""
+
 from __future__ import annotations
 
 import contextlib
@@ -84,14 +85,25 @@
     until(lambda: ["release", "9b1f03aa5c7e2d41"] in engine.commands, "the release of the pages")
 
 
-@pytest.mark.parametrize(("script", "service", "code", "dispatches"), [
-    (says("BUSY"), "load", 1, 3), (says("VOID"), "load", 1, 3), (says("ERR"), "load", 2, 1),
-    (resets, "load", 2, 1), (resets_between_pages, "load", 2, 1), (loses_a_page, "load", 2, 1),
-    (rambles, "load", 2, 1), (says("NONSENSE"), "load", 2, 1),
-    (says("ERR"), "look", 1, 3), (resets, "look", 1, 3), (loses_a_page, "look", 1, 3),
-])
+@pytest.mark.parametrize(
+    ("script", "service", "code", "dispatches"),
+    [
+        (says("BUSY"), "load", 1, 3),
+        (says("VOID"), "load", 1, 3),
+        (says("ERR"), "load", 2, 1),
+        (resets, "load", 2, 1),
+        (resets_between_pages, "load", 2, 1),
+        (loses_a_page, "load", 2, 1),
+        (rambles, "load", 2, 1),
+        (says("NONSENSE"), "load", 2, 1),
+        (says("ERR"), "look", 1, 3),
+        (resets, "look", 1, 3),
+        (loses_a_page, "look", 1, 3),
+    ],
+)
 def test_what_may_have_run_is_dispatched_again_only_where_that_does_no_harm(
-        started, script, service, code, dispatches):
+    started, script, service, code, dispatches
+):
     engine = started.engine(script)
     client = started(member(engine)).client()
     client.ask(1, "a1", service)
@@ -133,10 +145,16 @@
     assert one.served() == [] and len(two.served()) == 20
 
 
-@pytest.mark.parametrize("spoiled", [
-    b"", b"nonsense\r\n\r\n", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nno json", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
-])
+@pytest.mark.parametrize(
+    "spoiled",
+    [
+        b"",
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nno json",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+    ],
+)
 def test_a_feed_that_answers_nonsense_is_asked_again_and_the_list_stays(started, spoiled):
     feed, one, two = Feed(), started.engine(returns), started.engine(returns)
     feed.spoil.extend([spoiled, spoiled])
@@ -251,12 +269,20 @@
     assert other.answer()[:2] == (1, 0)
 
 
-@pytest.mark.parametrize("data", [
-    b"\0\0\0\4\2\0\0\0\1", b"\xff" * 20, struct.pack(">IBI", 6, 4, 1) + b"\0", struct.pack(">IBI", 5, 2, 9),
-    struct.pack(">IBI", 9, 2, 9) + b"\1\3ab", struct.pack(">IBI", 6, 2, 0) + b"\0",
-    struct.pack(">IBI", 6, 2, 1) + b"\0", struct.pack(">I", 60_000_000) + b"x" * 1000,
-    struct.pack(">IBI", 100, 2, 9) + b"\1",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\0\0\0\4\2\0\0\0\1",
+        b"\xff" * 20,
+        struct.pack(">IBI", 6, 4, 1) + b"\0",
+        struct.pack(">IBI", 5, 2, 9),
+        struct.pack(">IBI", 9, 2, 9) + b"\1\3ab",
+        struct.pack(">IBI", 6, 2, 0) + b"\0",
+        struct.pack(">IBI", 6, 2, 1) + b"\0",
+        struct.pack(">I", 60_000_000) + b"x" * 1000,
+        struct.pack(">IBI", 100, 2, 9) + b"\1",
+    ],
+)
 def test_malformed_bytes_end_their_connection_and_no_other(started, data):
     """At once, whatever is open on it, or soon where the rest of a frame never comes."""
     held = []
@@ -294,13 +320,29 @@
     assert quiet[-1].read() in ((4, 0, b"\2\0"), None) and busy[0].socket.fileno() >= 0
 
 
-@pytest.mark.parametrize("told", [
-    {"service": "none"}, {"project": "none"}, {"allow": ""}, {"allow": "soon"}, {"allow": "-5"},
-    {"allow": "nan"}, {"effort": "much"}, {"space": "inf"}, {"name": ""}, {"allow": "99000000"},
-    {"allow": "1_0"}, {"effort": "1e30"}, {"space": "0x10"}, {"name": "9b1f03aa5c7e2d4x"},
-    {"name": "9b1f03aa5c7e2d4"},
-    {"body": ""}, {"body": "\udcff"}, {"name": "b1"},
-])
+@pytest.mark.parametrize(
+    "told",
+    [
+        {"service": "none"},
+        {"project": "none"},
+        {"allow": ""},
+        {"allow": "soon"},
+        {"allow": "-5"},
+        {"allow": "nan"},
+        {"effort": "much"},
+        {"space": "inf"},
+        {"name": ""},
+        {"allow": "99000000"},
+        {"allow": "1_0"},
+        {"effort": "1e30"},
+        {"space": "0x10"},
+        {"name": "9b1f03aa5c7e2d4x"},
+        {"name": "9b1f03aa5c7e2d4"},
+        {"body": ""},
+        {"body": "\udcff"},
+        {"name": "b1"},
+    ],
+)
 def test_fields_that_cannot_be_used_get_an_errored_answer(started, told):
     """None goes to an engine, which closes on what it cannot read, or takes two batches of one id for one."""
     held = []
@@ -448,13 +490,24 @@
     assert listening == [f"{struct.unpack('<I', socket.inet_aton(host))[0]:08X}:{port:04X}"]
 
 
-@pytest.mark.parametrize("spoil", [
-    None, "", "no json", "[]", "{}", '{"limits":{},"feed":"x:1","known":{},"settings":{}}',
-    lambda told: told["settings"].pop("classes"), lambda told: told.update(known={"n": 1, "events": [{}]}),
-    lambda told: told.update(feed="nowhere"), lambda told: told.update(seed="xyz"),
-    lambda told: told["settings"]["safety"].update(fallMultiple=0.5),
-    lambda told: told.update(listen="nowhere"), lambda told: told.update(listen="in use"),
-])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        None,
+        "",
+        "no json",
+        "[]",
+        "{}",
+        '{"limits":{},"feed":"x:1","known":{},"settings":{}}',
+        lambda told: told["settings"].pop("classes"),
+        lambda told: told.update(known={"n": 1, "events": [{}]}),
+        lambda told: told.update(feed="nowhere"),
+        lambda told: told.update(seed="xyz"),
+        lambda told: told["settings"]["safety"].update(fallMultiple=0.5),
+        lambda told: told.update(listen="nowhere"),
+        lambda told: told.update(listen="in use"),
+    ],
+)
 def test_a_start_that_fails_says_why_in_one_line(started, tmp_path, spoil):
     node = started(member(1))
     path = tmp_path / "other.json"
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -19,33 +19,71 @@
 
 def condition(index, **told):
     of = {k: told.pop(k) for k in list(told) if k in ("location", "kind", "weight", "state", "started")}
-    return dataclasses.replace(Condition(entry(index, **of), 1.0, True, True, True, 1.0, 1.0, 32000.0, 16),
-        **told)
-
-
-def made(conditions, proxies=1, location=None, part=0.5, draining=(), demand=None, shed=(0.0,), peaks=(0.0,),
-        ration=None, allowed=None, **group):
-    terms = Terms((dataclasses.replace(GROUP, **group),), dataclasses.replace(ALLOWED, **(allowed or {})),
-        ration or RationTerms(0, 0, 0.0), 3.0)
+    return dataclasses.replace(
+        Condition(entry(index, **of), 1.0, True, True, True, 1.0, 1.0, 32000.0, 16), **told
+    )
+
+
+def made(
+    conditions,
+    proxies=1,
+    location=None,
+    part=0.5,
+    draining=(),
+    demand=None,
+    shed=(0.0,),
+    peaks=(0.0,),
+    ration=None,
+    allowed=None,
+    **group,
+):
+    terms = Terms(
+        (dataclasses.replace(GROUP, **group),),
+        dataclasses.replace(ALLOWED, **(allowed or {})),
+        ration or RationTerms(0, 0, 0.0),
+        3.0,
+    )
     addresses = {c.entry.engine: f"127.0.0.1:{c.entry.engine + 1}" for c in conditions}
-    found = plan(terms, conditions, addresses, Handed(part), proxies, location, demand or [1.0], shed, peaks,
-        draining)
+    found = plan(
+        terms, conditions, addresses, Handed(part), proxies, location, demand or [1.0], shed, peaks, draining
+    )
     return found[0] if found else None
 
 
 def test_endpoints_weights_and_health():
-    group = made([condition(0), condition(1, level=0.5), condition(2, level=0.1, sound=False), condition(3,
-        weight=0.0), condition(4, weight=3.0), condition(5, cores=4)], draining=[("e9", "127.0.0.1:99", 0,
-        0)])
+    group = made(
+        [
+            condition(0),
+            condition(1, level=0.5),
+            condition(2, level=0.1, sound=False),
+            condition(3, weight=0.0),
+            condition(4, weight=3.0),
+            condition(5, cores=4),
+        ],
+        draining=[("e9", "127.0.0.1:99", 0, 0)],
+    )
     (part,) = group.warm
-    assert [(e.name, e.health, e.weight) for e in part.endpoints] == [("e0", Health.HEALTHY, 1600), ("e1",
-        Health.HEALTHY, 800), ("e2", Health.UNHEALTHY, 160), ("e3", Health.UNHEALTHY, 1), ("e4",
-        Health.HEALTHY, 4800), ("e5", Health.HEALTHY, 400), ("e9", Health.DRAINING, 1)]
+    assert [(e.name, e.health, e.weight) for e in part.endpoints] == [
+        ("e0", Health.HEALTHY, 1600),
+        ("e1", Health.HEALTHY, 800),
+        ("e2", Health.UNHEALTHY, 160),
+        ("e3", Health.UNHEALTHY, 1),
+        ("e4", Health.HEALTHY, 4800),
+        ("e5", Health.HEALTHY, 400),
+        ("e9", Health.DRAINING, 1),
+    ]
     assert part.weight == 1600 + 800 + 4800 + 400
 
 
-@pytest.mark.parametrize(("location", "engines", "is_"), [(1, (0, 1, 2), [(1, 0), (0, 1), (2, 1)]), (None, (0,
-    1), [(0, 0), (1, 0)]), (7, (0, 1), [(0, 0), (1, 0)]), (0, (0, 0), [(0, 0)])])
+@pytest.mark.parametrize(
+    ("location", "engines", "is_"),
+    [
+        (1, (0, 1, 2), [(1, 0), (0, 1), (2, 1)]),
+        (None, (0, 1), [(0, 0), (1, 0)]),
+        (7, (0, 1), [(0, 0), (1, 0)]),
+        (0, (0, 0), [(0, 0)]),
+    ],
+)
 def test_the_own_location_first_and_the_rest_together(location, engines, is_):
     group = made([condition(n, location=place) for n, place in enumerate(engines)], location=location)
     assert [(p.location, p.priority) for p in group.warm] == is_
@@ -63,8 +101,17 @@
     assert made(conditions, in_order=True) is None  # a proxy keeps no order of keys
 
 
-@pytest.mark.parametrize(("proxies", "peak", "part", "threads", "most"), [(1, 0.0, 0.5, 1, 44), (2, 0.0, 0.5,
-    1, 22), (1, 0.0, 0.25, 1, 22), (1, 0.0, 0.5, 4, 11), (1, 2000.0, 0.5, 1, 16), (1000, 0.0, 0.5, 1, 1)])
+@pytest.mark.parametrize(
+    ("proxies", "peak", "part", "threads", "most"),
+    [
+        (1, 0.0, 0.5, 1, 44),
+        (2, 0.0, 0.5, 1, 22),
+        (1, 0.0, 0.25, 1, 22),
+        (1, 0.0, 0.5, 4, 11),
+        (1, 2000.0, 0.5, 1, 16),
+        (1000, 0.0, 0.5, 1, 1),
+    ],
+)
 def test_limits_hold_all_proxies_to_what_is_handed(proxies, peak, part, threads, most):
     two = [condition(0), condition(1)]  # 16 cores of 2.8 threads, 32,000 MB each
     assert made(two, proxies, part=part, peaks=(peak,), threads=threads).most == most
@@ -72,18 +119,26 @@
     assert made(sick, proxies, part=part, peaks=(peak,), threads=threads).most == max(1, most // 2)
 
 
-@pytest.mark.parametrize(("effect", "scope", "retry", "limit"), [(Effect.REPEATABLE, Scope.ALL,
-    Retry.HARMLESS, 10 * SECOND), (Effect.ONCE_ONLY, Scope.ALL, Retry.NEVER_RAN, 10 * SECOND),
-    (Effect.REFERENCED, Scope.ALL, Retry.HARMLESS, 5 * SECOND), (Effect.REFERENCED, Scope.CELL,
-    Retry.NEVER_RAN, 10 * SECOND), (Effect.REFERENCED, Scope.LOCATION, Retry.NEVER_RAN, 10 * SECOND)])
+@pytest.mark.parametrize(
+    ("effect", "scope", "retry", "limit"),
+    [
+        (Effect.REPEATABLE, Scope.ALL, Retry.HARMLESS, 10 * SECOND),
+        (Effect.ONCE_ONLY, Scope.ALL, Retry.NEVER_RAN, 10 * SECOND),
+        (Effect.REFERENCED, Scope.ALL, Retry.HARMLESS, 5 * SECOND),
+        (Effect.REFERENCED, Scope.CELL, Retry.NEVER_RAN, 10 * SECOND),
+        (Effect.REFERENCED, Scope.LOCATION, Retry.NEVER_RAN, 10 * SECOND),
+    ],
+)
 def test_retries_keep_rule_2_and_the_window(effect, scope, retry, limit):
     group = made([condition(0)], effect=effect, scope=scope)
     assert (group.retry, group.time_limit, group.dispatches) == (retry, limit, 3)
     routes = resources.resources((group,), "v", "", ["here"])[Type.ROUTES]["vanerelay"].encoded
     assert (b"gateway-error" in routes) == (retry is Retry.HARMLESS) and b"refused-stream" in routes
     once = made([condition(0)], effect=effect, scope=scope, allowed={"most_dispatches": 1})
-    assert (b"refused-stream" not in resources.resources((once,), "v", "",
-        ["here"])[Type.ROUTES]["vanerelay"].encoded)
+    assert (
+        b"refused-stream"
+        not in resources.resources((once,), "v", "", ["here"])[Type.ROUTES]["vanerelay"].encoded
+    )
 
 
 def test_the_retry_budget_keeps_the_ration():
@@ -117,8 +172,9 @@
 def test_a_cold_engine_s_limits_rise_with_its_ramp_and_fall_when_a_proxy_joins():
     at = [made([condition(0, warm=False, share=s), condition(1)]).most_cold for s in (0.3, 0.6, 1.0)]
     assert at == sorted(at) and at[0] < at[2] and at[0] > 0
-    with_others = [made([condition(0, warm=False, share=1.0), condition(1)], p).most_cold for p in (1, 2, 4,
-        100)]
+    with_others = [
+        made([condition(0, warm=False, share=1.0), condition(1)], p).most_cold for p in (1, 2, 4, 100)
+    ]
     assert with_others == sorted(with_others, reverse=True) and with_others[-1] == 0
     assert not made([condition(0, warm=False, ours=False), condition(1)]).cold  # warmed by other gateways
 
@@ -132,8 +188,11 @@
     little = (made([condition(0, level=0.98), condition(1)]),)
     assert not steady.take(NOW + 60 * SECOND, little) and steady.due(little) is None
     assert steady.take(NOW + handed.changes_every, slower)
-    for urgent in ([condition(0)], [condition(0, level=0.1, sound=False), condition(1)], [condition(0,
-        weight=0.0), condition(1)]):
+    for urgent in (
+        [condition(0)],
+        [condition(0, level=0.1, sound=False), condition(1)],
+        [condition(0, weight=0.0), condition(1)],
+    ):
         again = Steady(Handed())
         again.take(NOW, one)
         assert again.take(NOW + 1, (made(urgent),))
@@ -159,9 +218,19 @@
 def test_loads_of_proxies():
     loads = Loads(["look", "load"])
     weights = {("look", "east"): {"x:1": 300, "y:1": 100}, ("load/cold", "east"): {"y:1": 5}}
-    ended = loads.report(NOW, "p", [Load("look", "east", "", 8, 40, 4, 50), Load("load/cold", "east", "y:1",
-        3, 1, 1, 2), Load("look", "west", "", 9, 9, 9, 9), Load("look", "east", "z:1", 9, 9, 9, 9),
-        Load("nobody", "east", "x:1", 9, 9, 9, 9)], weights, [1.0, 100.0])
+    ended = loads.report(
+        NOW,
+        "p",
+        [
+            Load("look", "east", "", 8, 40, 4, 50),
+            Load("load/cold", "east", "y:1", 3, 1, 1, 2),
+            Load("look", "west", "", 9, 9, 9, 9),
+            Load("look", "east", "z:1", 9, 9, 9, 9),
+            Load("nobody", "east", "x:1", 9, 9, 9, 9),
+        ],
+        weights,
+        [1.0, 100.0],
+    )
     assert ended == {"x:1": (30.0, 3.0), "y:1": (11.0, 2.0)}
     loads.report(NOW + 1, "q", [Load("look", "east", "x:1", 2, 0, 0, 0)], weights, [1.0, 100.0])
     assert loads.running(NOW + 1) == {"x:1": 8.0, "y:1": 5.0}
--- a/tests/test_xds_sockets.py
+++ b/tests/test_xds_sockets.py
@@ -38,8 +38,12 @@
 
     def engine(self):
         """An engine that notes when it was sent what."""
-        one = Engine(lambda engine, connection, ident: (engine.times.append((time.monotonic(), ident)),
-            engine.returns(connection, ident)))
+        one = Engine(
+            lambda engine, connection, ident: (
+                engine.times.append((time.monotonic(), ident)),
+                engine.returns(connection, ident),
+            )
+        )
         one.times = []
         self.made.append(one)
         return one
@@ -57,8 +61,13 @@
         return self.made[-1]
 
     def streams(self):
-        told = subprocess.run([sys.executable, "-m", "vanerelay", "proxies", "--json", "--socket",
-            str(self.console)], cwd=ROOT, capture_output=True, text=True, check=True)
+        told = subprocess.run(
+            [sys.executable, "-m", "vanerelay", "proxies", "--json", "--socket", str(self.console)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
         return {row["node"]: row for row in map(json.loads, told.stdout.splitlines())}
 
     def close(self):
@@ -74,10 +83,16 @@
 class Proxy:
     """A proxy on grpcio: follows its endpoints and sends look-ups to them, one after the other."""
 
-    def __init__(self, address, name, incremental=False, acks=True, works=True, have=None, zone="here",
-            fails=()):
-        self.name, self.incremental, self.acks, self.zone, self.fails = (name, incremental, acks, zone,
-            set(fails))
+    def __init__(
+        self, address, name, incremental=False, acks=True, works=True, have=None, zone="here", fails=()
+    ):
+        self.name, self.incremental, self.acks, self.zone, self.fails = (
+            name,
+            incremental,
+            acks,
+            zone,
+            set(fails),
+        )
         self.have = have or {}  # versions by type and name, from an earlier stream
         self.told, self.endpoints, self.answers = [], {}, 0
         self.ended, self.end = None, threading.Event()
@@ -85,8 +100,12 @@
         self.channel = grpc.insecure_channel(address)
         stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(self.channel)
         method = stub.DeltaAggregatedResources if incremental else stub.StreamAggregatedResources
-        for kind, names in ((Type.CLUSTER, []), (Type.ENDPOINTS, ["look", "load"]), (Type.LISTENER,
-            ["vanerelay"]), (Type.ROUTES, ["vanerelay"])):
+        for kind, names in (
+            (Type.CLUSTER, []),
+            (Type.ENDPOINTS, ["look", "load"]),
+            (Type.LISTENER, ["vanerelay"]),
+            (Type.ROUTES, ["vanerelay"]),
+        ):
             self.requests.put(self.request(kind, names))
         self.stream = method(iter(self.requests.get, None))
         threading.Thread(target=self.follow, daemon=True).start()
@@ -126,8 +145,11 @@
                     continue
                 version = "" if self.incremental else answer.version_info
                 error = "this proxy can't" if kind in self.fails else None
-                self.requests.put(self.request(kind, () if self.incremental else names.get(kind, ()),
-                    answer.nonce, version, error))
+                self.requests.put(
+                    self.request(
+                        kind, () if self.incremental else names.get(kind, ()), answer.nonce, version, error
+                    )
+                )
         except grpc.RpcError as fault:
             self.ended = fault.code()
 
@@ -180,8 +202,11 @@
 def test_no_proxy_sends_new_work_to_a_drained_engine(site):
     one, two = site.engine(), site.engine()
     site.start(member(one, "e-1"), member(two, "e-2"))
-    proxies = [site.proxy("p-world"), site.proxy("p-delta", incremental=True), site.proxy("p-mute",
-        acks=False)]
+    proxies = [
+        site.proxy("p-world"),
+        site.proxy("p-delta", incremental=True),
+        site.proxy("p-mute", acks=False),
+    ]
     closed = Closed(site.listen)
     until(lambda: all(p.answers > 20 for p in proxies), "work of all proxies")
     until(lambda: len(one.times) > 10 and len(two.times) > 10, "work at both engines")
@@ -214,8 +239,17 @@
         self.h2.local_settings = Settings(client=True, initial_values={SettingCodes.INITIAL_WINDOW_SIZE: 0})
         self.h2.initiate_connection()
         path = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
-        self.h2.send_headers(1, [(":method", "POST"), (":scheme", "http"), (":path", path), (":authority",
-            "x"), ("content-type", "application/grpc"), ("te", "trailers")])
+        self.h2.send_headers(
+            1,
+            [
+                (":method", "POST"),
+                (":scheme", "http"),
+                (":path", path),
+                (":authority", "x"),
+                ("content-type", "application/grpc"),
+                ("te", "trailers"),
+            ],
+        )
         request = discovery_pb2.DiscoveryRequest(type_url=Type.ENDPOINTS.value, resource_names=["look"])
         request.node.id, request.node.locality.zone = "p-closed", "here"
         data = request.SerializeToString()
@@ -347,8 +381,9 @@
     stats = report.cluster_stats.add(cluster_name="look")
     place = stats.upstream_locality_stats.add(total_issued_requests=50, total_error_requests=40)
     place.locality.zone = "here"
-    there = place.upstream_endpoint_stats.add(total_error_requests=40, total_issued_requests=40,
-        total_requests_in_progress=3)
+    there = place.upstream_endpoint_stats.add(
+        total_error_requests=40, total_issued_requests=40, total_requests_in_progress=3
+    )
     there.address.socket_address.address, there.address.socket_address.port_value = "127.0.0.1", one.port
     for _ in range(4):
         requests.put(report)
@@ -372,14 +407,25 @@
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
         now = datetime.datetime.now(datetime.UTC)
         signing, issuer = signer or (key, subject)
-        made = x509.CertificateBuilder(issuer, subject, key.public_key(), x509.random_serial_number(), now,
-            now + datetime.timedelta(days=1))
+        made = x509.CertificateBuilder(
+            issuer,
+            subject,
+            key.public_key(),
+            x509.random_serial_number(),
+            now,
+            now + datetime.timedelta(days=1),
+        )
         made = made.add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), False)
-        made = made.add_extension(x509.BasicConstraints(signer is None, None), True).sign(signing,
-            hashes.SHA256())
-        return ((key, subject), key.private_bytes(serialization.Encoding.PEM,
-            serialization.PrivateFormat.PKCS8, serialization.NoEncryption()),
-            made.public_bytes(serialization.Encoding.PEM))
+        made = made.add_extension(x509.BasicConstraints(signer is None, None), True).sign(
+            signing, hashes.SHA256()
+        )
+        return (
+            (key, subject),
+            key.private_bytes(
+                serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+            ),
+            made.public_bytes(serialization.Encoding.PEM),
+        )
 
     signer, _, root = pair("root")
     (_, key, certificate), (_, other_key, other) = pair("control", signer), pair("proxy", signer)
@@ -435,16 +481,33 @@
     """Weights of places: calls from a place of no engine go 3 to 1 where three of four engines' cores are."""
     names = ["a", "b", "c", "d"]
     engines = [grpc_engine(name) for name in names]
-    rows = [{**member(engine.port, f"e-{name}"),
-        "locality": "here" if name != "d" else "nowhere we know"} for name, engine in zip(names, engines,
-        strict=True)]
+    rows = [
+        {**member(engine.port, f"e-{name}"), "locality": "here" if name != "d" else "nowhere we know"}
+        for name, engine in zip(names, engines, strict=True)
+    ]
     bootstrap = site.folder / "bootstrap.json"
-    bootstrap.write_text(json.dumps({"xds_servers": [{"server_uri": site.listen,
-        "channel_creds": [{"type": "insecure"}], "server_features": ["xds_v3"]}], "node": {"id": "p-grpc",
-        "locality": {"zone": "another"}}}))
+    bootstrap.write_text(
+        json.dumps(
+            {
+                "xds_servers": [
+                    {
+                        "server_uri": site.listen,
+                        "channel_creds": [{"type": "insecure"}],
+                        "server_features": ["xds_v3"],
+                    }
+                ],
+                "node": {"id": "p-grpc", "locality": {"zone": "another"}},
+            }
+        )
+    )
     site.start(*rows)
-    child = subprocess.Popen([sys.executable, "-c", CHILD], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-        text=True, env={**os.environ, "GRPC_XDS_BOOTSTRAP": str(bootstrap)})
+    child = subprocess.Popen(
+        [sys.executable, "-c", CHILD],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "GRPC_XDS_BOOTSTRAP": str(bootstrap)},
+    )
     try:
 
         def spread(count):
--- a/vanerelay/__main__.py
+++ b/vanerelay/__main__.py
@@ -1,4 +1,5 @@
 """`python -m vanerelay` is the command line."""
+
 from vanerelay.cli import main
 
 if __name__ == "__main__":
--- a/vanerelay/adapter/__main__.py
+++ b/vanerelay/adapter/__main__.py
@@ -1,4 +1,5 @@
 """Speaks the simulator's wire on standard input and output: one JSON line in, one out."""
+
 from __future__ import annotations
 
 import json
@@ -29,7 +30,8 @@
             number = event["manager"]
             if verb == "up":
                 self._instances[number] = Instance(
-                    number, now, event["initSeed"], event["profileData"], orders)
+                    number, now, event["initSeed"], event["profileData"], orders
+                )
             elif verb == "killed":
                 self._instances.pop(number, None)
             elif number in self._instances:
--- a/vanerelay/adapter/instance.py
+++ b/vanerelay/adapter/instance.py
@@ -1,4 +1,5 @@
 """One gateway instance on the simulator's wire: ids, units and messages, nothing else."""
+
 from __future__ import annotations
 
 import base64
@@ -144,7 +145,8 @@
         held = self._holding.at(batch)
         held.out += 1
         self._order(
-            "deliver", requestId=held.name, capUs=time_out * terms.MICROS, engine=self._engines.name(engine))
+            "deliver", requestId=held.name, capUs=time_out * terms.MICROS, engine=self._engines.name(engine)
+        )
 
     def grant(self, batch: int, memory: float, priority: int) -> None:
         self._order("equip", requestId=self._holding.at(batch).name, workspaceMb=memory, lane=priority)
--- a/vanerelay/adapter/wire.py
+++ b/vanerelay/adapter/wire.py
@@ -1,4 +1,5 @@
 """The simulator's words and list entries, turned into the project's own. Nothing here chooses."""
+
 from __future__ import annotations
 
 from typing import Any
--- a/vanerelay/checks.py
+++ b/vanerelay/checks.py
@@ -2,6 +2,7 @@
 
 What is not told keeps its default; names nobody knows are let be, as new ones may come. By hand, as the
 platform's start carries no library for it (requirements.txt)."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -13,9 +14,21 @@
 
 NEEDED = ("classes", "aimUs", "deadlineUs", "semantics")
 # What a running instance cannot take over: its connections, its place and its messages were made for these.
-AT_START = ("kinds", "failureDomains", "position", "groupSize", "az", "report", "limits.maxAttempts",
-            "limits.multiplex", "limits.connIdleUs", "limits.dialTimeoutUs", "limits.cancel",
-            "limits.secondCopies", "limits.peers")
+AT_START = (
+    "kinds",
+    "failureDomains",
+    "position",
+    "groupSize",
+    "az",
+    "report",
+    "limits.maxAttempts",
+    "limits.multiplex",
+    "limits.connIdleUs",
+    "limits.dialTimeoutUs",
+    "limits.cancel",
+    "limits.secondCopies",
+    "limits.peers",
+)
 
 
 def wrong(profile: Any) -> str | None:
@@ -68,26 +81,73 @@
     text, mark = ("text", lambda v: isinstance(v, str)), ("true or false", lambda v: isinstance(v, bool))
     figure, times = _figure(), _figure(terms.MICROS)  # shorter ones the module's time cannot tell from 0
     return {
-        "classes": [{
-            "name": text, "aimUs": times, "deadlineUs": times, "windowUs": figure, "aimStretch": figure,
-            "importance": figure, "lateWorth": figure, "semantics": _word(terms.EFFECTS),
-            "dedupScope": _word(terms.SCOPES), "inTurn": mark, "kindsOnly": [_place(profile, "kinds")],
-            "staysIn": [_place(profile, "failureDomains")]}],
-        "kinds": [text], "failureDomains": [text], "orgs": [{"name": text}],
+        "classes": [
+            {
+                "name": text,
+                "aimUs": times,
+                "deadlineUs": times,
+                "windowUs": figure,
+                "aimStretch": figure,
+                "importance": figure,
+                "lateWorth": figure,
+                "semantics": _word(terms.EFFECTS),
+                "dedupScope": _word(terms.SCOPES),
+                "inTurn": mark,
+                "kindsOnly": [_place(profile, "kinds")],
+                "staysIn": [_place(profile, "failureDomains")],
+            }
+        ],
+        "kinds": [text],
+        "failureDomains": [text],
+        "orgs": [{"name": text}],
         "familyInfo": {
-            "progressUs": figure, "grantCap": figure, "memoryShort": _word(terms.SHORTAGES),
-            "takesGrants": mark, "lanesCount": mark, "bills": mark, "parallelism": [_figure(1)],
-            "cpuOfKind": [figure], "memoryByKindMb": [figure], "writesTables": [mark],
-            "waitsForLoads": [mark]},
+            "progressUs": figure,
+            "grantCap": figure,
+            "memoryShort": _word(terms.SHORTAGES),
+            "takesGrants": mark,
+            "lanesCount": mark,
+            "bills": mark,
+            "parallelism": [_figure(1)],
+            "cpuOfKind": [figure],
+            "memoryByKindMb": [figure],
+            "writesTables": [mark],
+            "waitsForLoads": [mark],
+        },
         "limits": {
-            "maxAttempts": _figure(1), "maxOpen": figure, "multiplex": _figure(1), "dialTimeoutUs": figure,
-            "connIdleUs": figure, "maxRetryAfterUs": figure, "cancel": mark, "secondCopies": mark,
-            "probes": mark, "peers": mark, "retryAfter": mark},
-        "safety": {"fallMultiple": _figure(1), **dict.fromkeys(
-            ("coldFrom", "coldUs", "overloadForUs", "drainGraceUs", "orderPauseUs", "ratioSpanUs", "minExtra",
-             "extraRatio"), figure)},
+            "maxAttempts": _figure(1),
+            "maxOpen": figure,
+            "multiplex": _figure(1),
+            "dialTimeoutUs": figure,
+            "connIdleUs": figure,
+            "maxRetryAfterUs": figure,
+            "cancel": mark,
+            "secondCopies": mark,
+            "probes": mark,
+            "peers": mark,
+            "retryAfter": mark,
+        },
+        "safety": {
+            "fallMultiple": _figure(1),
+            **dict.fromkeys(
+                (
+                    "coldFrom",
+                    "coldUs",
+                    "overloadForUs",
+                    "drainGraceUs",
+                    "orderPauseUs",
+                    "ratioSpanUs",
+                    "minExtra",
+                    "extraRatio",
+                ),
+                figure,
+            ),
+        },
         "report": {"how": _word(("piggyback", "pull", "silent"))},
-        "position": figure, "groupSize": _figure(1), "az": figure, "tickUs": figure}
+        "position": figure,
+        "groupSize": _figure(1),
+        "az": figure,
+        "tickUs": figure,
+    }
 
 
 def _faults(at: str, value: Any, wanted: Any) -> Iterator[str]:
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -1,4 +1,5 @@
 """The command line: `serve` runs the workload manager, `check` reads a configuration."""
+
 from __future__ import annotations
 
 import importlib
@@ -44,12 +45,14 @@
 class Lazy(click.Group):
     """Loads a subsystem's commands when they are called: a start without them imports nothing of theirs."""
 
-    PARTS = {"members": ("vanerelay.membership.commands", "requirements-membership.txt"),
-             "proxies": ("vanerelay.membership.commands", "requirements-membership.txt"),
-             "fleet": ("vanerelay.fleet.commands", "requirements-membership.txt"),
-             "keep": ("vanerelay.rollout.commands", "requirements-membership.txt"),
-             "rollout": ("vanerelay.rollout.commands", "requirements-membership.txt"),
-             "lab": ("vanerelay.lab.commands", "requirements-lab.txt")}
+    PARTS = {
+        "members": ("vanerelay.membership.commands", "requirements-membership.txt"),
+        "proxies": ("vanerelay.membership.commands", "requirements-membership.txt"),
+        "fleet": ("vanerelay.fleet.commands", "requirements-membership.txt"),
+        "keep": ("vanerelay.rollout.commands", "requirements-membership.txt"),
+        "rollout": ("vanerelay.rollout.commands", "requirements-membership.txt"),
+        "lab": ("vanerelay.lab.commands", "requirements-lab.txt"),
+    }
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.PARTS])
@@ -101,8 +104,15 @@
 @click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
 @click.option("--listen-fd", type=int, hidden=True, help="The listening socket of a keeper.")
 @click.option("--ready-fd", type=int, hidden=True, help="Where to tell a keeper that batches are taken.")
-def serve(config: str, listen: str | None, name: str | None, options: str | None, log_level: str,
-          listen_fd: int | None, ready_fd: int | None) -> None:
+def serve(
+    config: str,
+    listen: str | None,
+    name: str | None,
+    options: str | None,
+    log_level: str,
+    listen_fd: int | None,
+    ready_fd: int | None,
+) -> None:
     """Serves clients until SIGTERM, then answers what it has taken and ends. SIGHUP reads the configuration
     again and follows the feed that it names."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends the program; so early nothing was read
@@ -123,8 +133,9 @@
         name = name or str(told.get("name", ""))
         structlog.contextvars.bind_contextvars(gateway=name)
         join = importlib.import_module("vanerelay.joining").joins(parts) if parts else None
-        program = Program(reactor, clock, told, listen or str(told.get("listen", "")), name,
-                          Kept(listen_fd, ready_fd), join)
+        program = Program(
+            reactor, clock, told, listen or str(told.get("listen", "")), name, Kept(listen_fd, ready_fd), join
+        )
     except BadStart as fault:
         click.echo(f"vanerelay: {fault}", err=True)
         sys.exit(2)
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -1,4 +1,5 @@
 """Every decision of vanerelay: what runs, where, with how much memory, and what is given up."""
+
 from __future__ import annotations
 
 import heapq
@@ -541,8 +542,9 @@
         own = self.slice * self._kept_part
         pooled = not self.pool.running or self.pool.fits(holds, threads, own)
         parts = [(e.ours(now, usual, own, self._wanted), e) for e in able]
-        fitting = [e for part, e in parts
-                   if e.ledger.fits(holds, threads, part) or pooled and not e.ledger.running]
+        fitting = [
+            e for part, e in parts if e.ledger.fits(holds, threads, part) or pooled and not e.ledger.running
+        ]
         if not fitting:
             part, freest = max(parts, key=lambda pair: pair[1].ledger.room(pair[0]))
             bound = min(self.WAIT_BOUND, (arrival.time_limit - batch.taken) // 2)
@@ -611,7 +613,7 @@
 
     def _look_over(self, now: int, stalled: bool) -> None:
         if self._beats % 4 == 0 and self._looked_after:
-            kept = [e.health for _, _, e in self.order.all[:self.KEPT]]
+            kept = [e.health for _, _, e in self.order.all[: self.KEPT]]
             self._faults = quantile([(health.faults(now), 1.0) for health in kept], 0.49)
             self._pace = quantile([(health.pace, 1.0) for health in kept if health.paced], 0.49)
         for engine in list(self._looked_after.values()):  # those that hold some of ours, or are not sound
@@ -704,9 +706,13 @@
     def worth_more(self, batch: Batch) -> bool:  # whether another dispatch may go, and could earn something
         now, arrival = self.transport.now, batch.arrival
         until = arrival.time_limit - self._margin if batch.group.late_utility else batch.goal_at
-        return (len(batch.sends) < self.allowed.most_dispatches and self._ration.allows(now, batch.little)
-                and now + self.pace.run(now, arrival.group, arrival.cost) / 2 < until
-                and now < batch.allowed_until() and any(True for _ in self._kept(batch.bound_to())))
+        return (
+            len(batch.sends) < self.allowed.most_dispatches
+            and self._ration.allows(now, batch.little)
+            and now + self.pace.run(now, arrival.group, arrival.cost) / 2 < until
+            and now < batch.allowed_until()
+            and any(True for _ in self._kept(batch.bound_to()))
+        )
 
     def progressed(self, batch: Batch, dispatch: int, lasted: int, share: float) -> None:
         """Ends a dispatch that another would overtake by far, or that would not answer its batch in time."""
--- a/vanerelay/holding.py
+++ b/vanerelay/holding.py
@@ -1,4 +1,5 @@
 """What a gateway process remembers of the batches it holds and of the names it meets, on either wire."""
+
 from __future__ import annotations
 
 from typing import Generic, TypeVar
@@ -100,7 +101,17 @@
 def conditions(gateway: Gateway) -> list[Condition]:
     """How each listed engine is held, for those that hand our decisions on."""
     now = gateway.transport.now
-    return [Condition(
-        e.entry, e.health.level, e.health.level >= Health.LOW, e.ramp.warm(now), e.ramp.mine,
-        e.ramp.share(now), e.health.level * min(1.0, e.entry.weight) * gateway.slice, e.ledger.memory,
-        e.ledger.cores) for _, _, e in gateway.order.all]
+    return [
+        Condition(
+            e.entry,
+            e.health.level,
+            e.health.level >= Health.LOW,
+            e.ramp.warm(now),
+            e.ramp.mine,
+            e.ramp.share(now),
+            e.health.level * min(1.0, e.entry.weight) * gateway.slice,
+            e.ledger.memory,
+            e.ledger.cores,
+        )
+        for _, _, e in gateway.order.all
+    ]
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -4,6 +4,7 @@
 caller hands out; an engine's name is kept beside its index only because it is the same at every
 gateway. Nothing in this file chooses anything.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
@@ -179,10 +180,12 @@
     engines: frozenset[int] | None = None
 
     def admits(self, engine: EngineEntry) -> bool:
-        return ((self.locations is None or engine.location in self.locations)
-                and (self.kinds is None or engine.kind in self.kinds)
-                and (self.cell is None or engine.cell == self.cell)
-                and (self.engines is None or engine.engine in self.engines))
+        return (
+            (self.locations is None or engine.location in self.locations)
+            and (self.kinds is None or engine.kind in self.kinds)
+            and (self.cell is None or engine.cell == self.cell)
+            and (self.engines is None or engine.engine in self.engines)
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/vanerelay/lab/script.py
+++ b/vanerelay/lab/script.py
@@ -193,8 +193,19 @@
     "links": ("slow", "hold", "swallow", "refuse", "reset", "cut"),
     "managers": ("kill", "freeze", "end", "settings"),
     "programs": ("kill", "freeze", "end"),
-    "engines": ("crash", "vanish", "stall", "pace", "errors", "drain", "replace",
-                "lag", "stick", "restore", "lead"),
+    "engines": (
+        "crash",
+        "vanish",
+        "stall",
+        "pace",
+        "errors",
+        "drain",
+        "replace",
+        "lag",
+        "stick",
+        "restore",
+        "lead",
+    ),
     "": ("load",),
 }
 FOLDERS = ("kept", "gone", "founded")  # founded: gone, and the files of the beginning written anew
@@ -287,9 +298,7 @@
         cold=_one(document, "cold", Cold),
         ration=_one(document, "ration", Ration),
         faults=faults,
-        publications=tuple(
-            _filled(one, Publication, name=one.label) for one in document.all("publication")
-        ),
+        publications=tuple(_filled(one, Publication, name=one.label) for one in document.all("publication")),
         expected=_one(document, "expect", Expected),
         settings=_settings(document),
         feed_late=document.take("feed_late", Span, SECOND // 2),
--- a/vanerelay/leases/service.py
+++ b/vanerelay/leases/service.py
@@ -82,11 +82,7 @@
         self.voting: Voting | None = None
         if disk is not None:
             self.voting = Voting(reactor, self.name, parts.terms, parts.voters, disk, clock, self._ask)
-        fleet.links.handlers |= {
-            "lease": self._asked,
-            "lease-free": self._freed,
-            "leases": self._viewed,
-        }
+        fleet.links.handlers |= {"lease": self._asked, "lease-free": self._freed, "leases": self._viewed}
 
     def add(self, name: str, began: Callable[[Hold], None], ended: Callable[[Hold], None]) -> Hold:
         """A task of the fleet; every manager adds the same ones."""
--- a/vanerelay/measure.py
+++ b/vanerelay/measure.py
@@ -1,4 +1,5 @@
 """Plain arithmetic over what is observed: sums over time and least squares. Nothing here chooses."""
+
 from __future__ import annotations
 
 import hashlib
--- a/vanerelay/net/buffers.py
+++ b/vanerelay/net/buffers.py
@@ -1,4 +1,5 @@
 """Buffers of one size, used again from a pool, for what has come of a message that is not whole yet."""
+
 from __future__ import annotations
 
 BLOCK = 16_384  # the page's longest result fits three, nearly every message one
@@ -45,14 +46,14 @@
 
     def keep(self) -> None:
         """Copies what was not read into blocks; called when the bytes fed are gone through."""
-        rest = memoryview(self._fresh)[self._at:]
+        rest = memoryview(self._fresh)[self._at :]
         while rest:
             place = self._end % BLOCK
             if self._end == len(self._blocks) * BLOCK:
                 self._blocks.append(self._pool.take())
-            part = rest[:BLOCK - place]
-            self._blocks[-1][place:place + len(part)] = part
-            self._end, rest = self._end + len(part), rest[len(part):]
+            part = rest[: BLOCK - place]
+            self._blocks[-1][place : place + len(part)] = part
+            self._end, rest = self._end + len(part), rest[len(part) :]
         self._fresh, self._at = b"", 0
 
     def peek(self, size: int) -> bytes | None:
@@ -60,14 +61,14 @@
         if len(self) < size:
             return None
         if self._start == self._end:
-            return bytes(self._fresh[self._at:self._at + size])
+            return bytes(self._fresh[self._at : self._at + size])
         parts, start, stop = [], self._start, min(self._end, self._start + size)
         while start < stop:
             block, place = divmod(start, BLOCK)
-            parts.append(bytes(self._blocks[block][place:place + stop - start]))
+            parts.append(bytes(self._blocks[block][place : place + stop - start]))
             start += len(parts[-1])
         missing = size - (stop - self._start)
-        parts.append(self._fresh[self._at:self._at + missing])
+        parts.append(self._fresh[self._at : self._at + missing])
         return b"".join(parts)
 
     def skip(self, size: int) -> None:
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -1,4 +1,5 @@
 """Clients: the driver that reads frames and writes answers, and the share of descriptors they hold."""
+
 from __future__ import annotations
 
 import socket
@@ -254,8 +255,9 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, clock: Clock, service: Served, pool: Pool, most: int,
-                 spare: Callable[[], bool]) -> None:
+    def __init__(
+        self, reactor: Any, clock: Clock, service: Served, pool: Pool, most: int, spare: Callable[[], bool]
+    ) -> None:
         """`most` connections are their share; past it one more is kept while there is a spare descriptor."""
         self._spare = spare
         self.reactor, self.clock, self.service, self.pool, self._most = reactor, clock, service, pool, most
@@ -302,8 +304,14 @@
             if silent.silent:
                 self._end(silent)
                 return True
-        idle = next((other for other in self._all if not other.open and (
-            not other.silent or other.used_at < new_since)), None)
+        idle = next(
+            (
+                other
+                for other in self._all
+                if not other.open and (not other.silent or other.used_at < new_since)
+            ),
+            None,
+        )
         if idle is None:
             # Turned away, what it has sent already would be lost: only where no descriptor is left.
             return self._spare()
--- a/vanerelay/net/clock.py
+++ b/vanerelay/net/clock.py
@@ -1,4 +1,5 @@
 """The one clock, and the reactor that keeps arrivals before timers when the process has stood still."""
+
 from __future__ import annotations
 
 import time
--- a/vanerelay/net/ends.py
+++ b/vanerelay/net/ends.py
@@ -1,4 +1,5 @@
 """How an attempt at an engine ended, as a value, and the one table that names the module's outcome for it."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -1,4 +1,5 @@
 """Engines: the driver that connects to them, and the attempts that run over its connections."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -30,11 +31,33 @@
 class Attempt:
     """One dispatch on its way. `done` fires once, with its End; it never fails."""
 
-    __slots__ = ("body", "done", "grant", "group", "ident", "line", "noted", "patience", "priority",
-                 "sent_at", "timer", "used", "words")
-
-    def __init__(self, ident: bytes, group: bytes, patience: int, grant: int, priority: int, body: bytes,
-                 used: list[Line], words: Sequence[bytes] = ()) -> None:
+    __slots__ = (
+        "body",
+        "done",
+        "grant",
+        "group",
+        "ident",
+        "line",
+        "noted",
+        "patience",
+        "priority",
+        "sent_at",
+        "timer",
+        "used",
+        "words",
+    )
+
+    def __init__(
+        self,
+        ident: bytes,
+        group: bytes,
+        patience: int,
+        grant: int,
+        priority: int,
+        body: bytes,
+        used: list[Line],
+        words: Sequence[bytes] = (),
+    ) -> None:
         """`used`: the connections that the batch's dispatches went over; each takes one of them only.
         `words`: the whole command, where it is an order and no batch."""
         self.words = words
@@ -140,8 +163,9 @@
         if attempt.words:
             self.exchange.order(attempt.ident, attempt.words)
         else:
-            self.exchange.serve(attempt.ident, attempt.group, attempt.patience, attempt.grant,
-                                attempt.priority, attempt.body)
+            self.exchange.serve(
+                attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.priority, attempt.body
+            )
         self._flush(attempt.ident)
 
     def drained(self) -> None:
@@ -306,8 +330,19 @@
     lasts. A connection for every dispatch took twice the CPU, and at 900 batches a second all there was.
     """
 
-    def __init__(self, reactor: Any, host: str, port: int, pool: Pool, most: int, may_cancel: bool,
-                 alone: bool, connect_s: float, idle_s: float, patience_s: float) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        host: str,
+        port: int,
+        pool: Pool,
+        most: int,
+        may_cancel: bool,
+        alone: bool,
+        connect_s: float,
+        idle_s: float,
+        patience_s: float,
+    ) -> None:
         self.reactor, self.host, self.port, self.pool = reactor, host, port, pool
         self.may_cancel, self.connect_s, self.alone = may_cancel, connect_s, alone
         self.patience_s = patience_s
@@ -321,8 +356,11 @@
         """None: a new one is wanted, as none takes it, or all hold as many as there are connections."""
         now, best = self.reactor.seconds(), None
         for line in self.lines:
-            if line.takes(attempt.ident) and line not in attempt.used and (
-                    line.busy or now - line.used_at < self._idle_s):
+            if (
+                line.takes(attempt.ident)
+                and line not in attempt.used
+                and (line.busy or now - line.used_at < self._idle_s)
+            ):
                 if not line.busy:
                     return line
                 best = line if best is None or line.busy < best.busy else best
@@ -352,8 +390,18 @@
 class Engines:
     """All engines by the module's indices."""
 
-    def __init__(self, reactor: Any, pool: Pool, most: int, may_cancel: bool, may_copy: bool,
-                 connect_s: float, idle_s: float, connections: int, patience_s: float) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        pool: Pool,
+        most: int,
+        may_cancel: bool,
+        may_copy: bool,
+        connect_s: float,
+        idle_s: float,
+        connections: int,
+        patience_s: float,
+    ) -> None:
         """`most` dispatches are open on a connection; one alone where a dispatch given up must be abandoned,
         as the next would be a copy, and only the end of its connection does that. An answer that was begun
         and does not go on for `patience_s` is spoilt."""
@@ -382,8 +430,18 @@
             self._drop(before, at_once=True)
         host, _, port = address.rpartition(":")
         self._lives[engine], self._addresses[address] = (address, started), engine
-        self._peers[engine] = Peer(self._reactor, host, int(port), self._pool, self._most, self._may_cancel,
-                                   self._alone, self._connect_s, self._idle_s, self._patience_s)
+        self._peers[engine] = Peer(
+            self._reactor,
+            host,
+            int(port),
+            self._pool,
+            self._most,
+            self._may_cancel,
+            self._alone,
+            self._connect_s,
+            self._idle_s,
+            self._patience_s,
+        )
 
     def only(self, there: set[int]) -> None:
         """A whole list: what it does not name is gone."""
--- a/vanerelay/net/feed.py
+++ b/vanerelay/net/feed.py
@@ -1,4 +1,5 @@
 """The feed's side of HTTP/1.1: a machine that is fed an answer's bytes, and the events it carries."""
+
 from __future__ import annotations
 
 import json
@@ -28,8 +29,10 @@
 
 
 def request(host: str, held: int, wait_ms: int) -> bytes:
-    return (f"GET /v1/events?SUB={held}&wait={wait_ms} HTTP/1.1\r\nHost: {host}\r\n"
-            "Accept: application/json\r\n\r\n").encode()
+    return (
+        f"GET /v1/events?SUB={held}&wait={wait_ms} HTTP/1.1\r\nHost: {host}\r\n"
+        "Accept: application/json\r\n\r\n"
+    ).encode()
 
 
 class ReplyReader:
@@ -151,8 +154,16 @@
     weight: float | None = None
 
     def entry(self, engine: int) -> EngineEntry:
-        return EngineEntry(engine, self.name, self.location, self.kind, self.cell, self.state,
-                           1.0 if self.weight is None else self.weight, self.started)
+        return EngineEntry(
+            engine,
+            self.name,
+            self.location,
+            self.kind,
+            self.cell,
+            self.state,
+            1.0 if self.weight is None else self.weight,
+            self.started,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,20 +186,24 @@
     body = event.get("members")
     if body is None:
         return Change(int(event["n"]), False, [])  # of another kind; its number counts all the same
-    return Change(int(event["n"]), bool(body.get("complete")), [
-        Member(
-            name=str(row["id"]),
-            address=_address(row["host_port"]),
-            state=STATES[row["phase"]],
-            # One that the settings do not name is none of those that a service group may be bound to.
-            location=locations.get(row.get("locality"), len(locations)),
-            kind=kinds.get(row.get("flavor"), len(kinds)),
-            cell=int(row.get("cell") or 0),
-            size=float(row.get("size") or 1.0),
-            started=int(float(row.get("up_since_ms") or 0) * 10),
-        )
-        for row in body["members"]
-    ])
+    return Change(
+        int(event["n"]),
+        bool(body.get("complete")),
+        [
+            Member(
+                name=str(row["id"]),
+                address=_address(row["host_port"]),
+                state=STATES[row["phase"]],
+                # One that the settings do not name is none of those that a service group may be bound to.
+                location=locations.get(row.get("locality"), len(locations)),
+                kind=kinds.get(row.get("flavor"), len(kinds)),
+                cell=int(row.get("cell") or 0),
+                size=float(row.get("size") or 1.0),
+                started=int(float(row.get("up_since_ms") or 0) * 10),
+            )
+            for row in body["members"]
+        ],
+    )
 
 
 def split(address: str) -> tuple[str, int]:
--- a/vanerelay/net/frames.py
+++ b/vanerelay/net/frames.py
@@ -1,4 +1,5 @@
 """The frames of clients: a machine that is fed bytes and gives frames, and the making of frames."""
+
 from __future__ import annotations
 
 import struct
@@ -87,10 +88,10 @@
     try:
         for _ in range(frame[_HEAD.size]):
             name_end = at + 1 + frame[at]
-            value_end = name_end + 2 + int.from_bytes(frame[name_end:name_end + 2], "big")
+            value_end = name_end + 2 + int.from_bytes(frame[name_end : name_end + 2], "big")
             if value_end > len(frame):
                 return Malformed("a field ends past its frame")
-            fields[frame[at + 1:name_end].decode()] = frame[name_end + 2:value_end].decode()
+            fields[frame[at + 1 : name_end].decode()] = frame[name_end + 2 : value_end].decode()
             at = value_end
     except IndexError:
         return Malformed("a frame ends within its fields")
--- a/vanerelay/net/peers.py
+++ b/vanerelay/net/peers.py
@@ -1,4 +1,5 @@
 """Peers: datagrams of at most 256 bytes, where the settings permit them."""
+
 from __future__ import annotations
 
 import contextlib
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -1,4 +1,5 @@
 """Starts and ends the workload manager: its configuration, its parts, and the order they go in."""
+
 from __future__ import annotations
 
 import gc
@@ -51,8 +52,11 @@
             told = json.load(file)
     except (OSError, ValueError) as fault:
         raise BadStart(f"configuration {path}: {fault}") from None
-    missing = [name for name in ("limits", "feed", "known", "settings") if not isinstance(told, dict)
-               or name not in told]
+    missing = [
+        name
+        for name in ("limits", "feed", "known", "settings")
+        if not isinstance(told, dict) or name not in told
+    ]
     if missing:
         raise BadStart(f"configuration {path}: nothing told under {', '.join(missing)}")
     assert isinstance(told, dict)
@@ -73,8 +77,16 @@
 class Program:
     """The parts of one workload manager, each made with its own few settings."""
 
-    def __init__(self, reactor: Any, clock: Clock, told: dict[str, Any], listen: str, name: str = "",
-                 kept: Kept | None = None, join: Join | None = None) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        told: dict[str, Any],
+        listen: str,
+        name: str = "",
+        kept: Kept | None = None,
+        join: Join | None = None,
+    ) -> None:
         """`kept`: by a keeper; `join` makes the subsystems that operators switched on, None where none is."""
         self._kept, self._owns = kept or Kept(), int(clock.now())
         self.reactor, self.clock, self.name = reactor, clock, name
@@ -90,8 +102,17 @@
         descriptors = int(told["limits"].get("sockets") or 1024)
         clients = max(1, descriptors // CLIENT_SHARE)
         patience_s = Health.QUIET * Health.PATIENCE / UNITS
-        engines = Engines(reactor, pool, int(limits.get("multiplex") or 1), allowed.cancel, allowed.copies,
-                          connect_s, idle_s, max(1, descriptors - clients - OWN), patience_s)
+        engines = Engines(
+            reactor,
+            pool,
+            int(limits.get("multiplex") or 1),
+            allowed.cancel,
+            allowed.copies,
+            connect_s,
+            idle_s,
+            max(1, descriptors - clients - OWN),
+            patience_s,
+        )
         peers = None
         if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
@@ -111,10 +132,16 @@
         for part in self._parts:
             changed, answered = part.between(changed, answered)
         self.roster = Roster(
-            reactor, pool, told["feed"], self.places, self.kinds, connect_s, changed, answered)
+            reactor, pool, told["feed"], self.places, self.kinds, connect_s, changed, answered
+        )
         self.clients: Clients = Clients(
-            reactor, clock, self.service, pool, clients,
-            lambda: self.clients.number + engines.connections() + OWN < descriptors)
+            reactor,
+            clock,
+            self.service,
+            pool,
+            clients,
+            lambda: self.clients.number + engines.connections() + OWN < descriptors,
+        )
         self._engines, self._drained = engines, Deferred[None]()
         self._collect_past = room * STATEMENT_SHARE // 2
         wrong = self.roster.apply(told["known"])
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -1,4 +1,5 @@
 """The conversation with an engine on one connection, without the connection: RESP arrays in, ends out."""
+
 from __future__ import annotations
 
 import re
@@ -188,8 +189,9 @@
         room = len(self.open) + len(self._left_open) < self._most and not self._reader.broken
         return room and ident not in self.open and ident not in self._left_open
 
-    def serve(self, ident: bytes, group: bytes, patience: int, grant: int, priority: int,
-              body: bytes) -> None:
+    def serve(
+        self, ident: bytes, group: bytes, patience: int, grant: int, priority: int, body: bytes
+    ) -> None:
         """Grant and priority of 0 are left to the engine."""
         told = b"sort=%b,patience=%d" % (group, patience)
         if grant > 0:
--- a/vanerelay/net/roster.py
+++ b/vanerelay/net/roster.py
@@ -1,4 +1,5 @@
 """The list of engines: the driver that asks the control feed for changes, again and again."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Generator, Mapping
@@ -65,9 +66,17 @@
 class Roster:
     """Follows the feed, and hands on each change once."""
 
-    def __init__(self, reactor: Any, pool: Pool, address: str, locations: Mapping[str, int],
-                 kinds: Mapping[str, int], connect_s: float, changed: Callable[[feed.Change], None],
-                 answered: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        pool: Pool,
+        address: str,
+        locations: Mapping[str, int],
+        kinds: Mapping[str, int],
+        connect_s: float,
+        changed: Callable[[feed.Change], None],
+        answered: Callable[[], None] | None = None,
+    ) -> None:
         """`answered`: called for each answer of the feed that could be used, with news or without."""
         self._reactor, self._pool, self._connect_s, self._changed = reactor, pool, connect_s, changed
         self._answered = answered
@@ -148,8 +157,7 @@
             self._connection = yield where.connect(factory)
         connection = self._connection
         assert connection is not None
-        asked = connection.ask(
-            feed.request(f"{self._host}:{self._port}", self._numbering.held, WAIT_MS))
+        asked = connection.ask(feed.request(f"{self._host}:{self._port}", self._numbering.held, WAIT_MS))
         silence = self._reactor.callLater(WAIT_MS / 1000 + self._connect_s, connection.give_up)
         try:
             reply = yield asked
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -1,4 +1,5 @@
 """Joins clients, engines and the list to one Gateway: the second Transport, beside the adapter's instance."""
+
 from __future__ import annotations
 
 import heapq
@@ -32,18 +33,41 @@
 ALLOW_MOST = 2  # times its service group's time limit: the longest that a client can mean to wait
 SPARE_GUARDS = 100  # of batches answered, that are let lie before they are swept out
 LOADS = ("inflight", "queue", "util", "latency_ms", "qps", "eps")  # the page's words for reported values
-REPORTED = dict(zip(LOADS, ("busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"),
-                    strict=True))
+REPORTED = dict(
+    zip(LOADS, ("busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"), strict=True)
+)
 
 
 class Request(Held):
     """A batch on the sockets: who waits for it, and what goes to an engine."""
 
-    __slots__ = ("arrival", "attempts", "body", "client", "grant", "group", "guide", "limit", "priority",
-                 "service", "since", "stream", "used")
-
-    def __init__(self, service: Service, client: ClientConnection | Inner, stream: int, name: str,
-                 group: str, limit: int, body: bytes, since: int) -> None:
+    __slots__ = (
+        "arrival",
+        "attempts",
+        "body",
+        "client",
+        "grant",
+        "group",
+        "guide",
+        "limit",
+        "priority",
+        "service",
+        "since",
+        "stream",
+        "used",
+    )
+
+    def __init__(
+        self,
+        service: Service,
+        client: ClientConnection | Inner,
+        stream: int,
+        name: str,
+        group: str,
+        limit: int,
+        body: bytes,
+        since: int,
+    ) -> None:
         super().__init__(name)
         self.since = since
         self.service, self.client, self.stream = service, client, stream
@@ -89,8 +113,15 @@
 class Service:
     """The Transport of the Gateway on sockets. `open_gateway` is called once its parts stand."""
 
-    def __init__(self, reactor: Any, clock: Clock, profile: dict[str, Any], engines: Engines,
-                 peers: Peers | None, room: int) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        profile: dict[str, Any],
+        engines: Engines,
+        peers: Peers | None,
+        room: int,
+    ) -> None:
         """`room`: bytes that the statements of open batches may take together."""
         self._reactor, self._clock, self._engines, self._peers = reactor, clock, engines, peers
         self._refs = set[str]()  # of the batches open: an engine takes two under one for the same
@@ -113,8 +144,9 @@
         groups, allowed = terms.service_groups(profile), terms.allowances(profile)
         self._groups = {group.name: row for row, group in enumerate(groups)}
         self._time_limits = [group.time_limit for group in groups]
-        self._worth = {group.name.encode(): (group.goal, group.late_utility / (group.utility or 1.0))
-                       for group in groups}
+        self._worth = {
+            group.name.encode(): (group.goal, group.late_utility / (group.utility or 1.0)) for group in groups
+        }
         self._customers = {str(o.get("name")): row for row, o in enumerate(profile.get("orgs") or [])}
         self._most_open = int((profile.get("limits") or {}).get("maxOpen") or 0)
         self._most_dispatches, self._grants = allowed.most_dispatches, allowed.grants
@@ -167,9 +199,17 @@
         allow, effort, space = (_figure(told, name) for name in ("allow", "effort", "space"))
         name = told.get("ref", "")
         statement = _text(body)
-        if (group is None or customer is None or allow is None or effort is None or space is None
-                or not statement or allow * 10 > ALLOW_MOST * self._time_limits[group]
-                or not REF.fullmatch(name) or name in self._refs):
+        if (
+            group is None
+            or customer is None
+            or allow is None
+            or effort is None
+            or space is None
+            or not statement
+            or allow * 10 > ALLOW_MOST * self._time_limits[group]
+            or not REF.fullmatch(name)
+            or name in self._refs
+        ):
             self._count_unheld(told, frames.ERRORED)
             client.answer(frame.stream, frames.ERRORED, {}, b"")
             return Taken.UNUSABLE
@@ -197,9 +237,16 @@
         heapq.heappush(self._guards, (limit, next(self._serial), held))
         client.open[frame.stream] = held
         arrival = Arrival(
-            index=held.index, group=group, customer=customer, key=None, time_limit=limit,
-            cost=int(math.ceil(effort * 10)), memory=space, is_retry=False,
-            tables=table_group(statement))
+            index=held.index,
+            group=group,
+            customer=customer,
+            key=None,
+            time_limit=limit,
+            cost=int(math.ceil(effort * 10)),
+            memory=space,
+            is_retry=False,
+            tables=table_group(statement),
+        )
         held.arrival, held.guide = arrival, guide
         if guide is None:
             self._take(held)
@@ -209,8 +256,9 @@
         self._guard()
         return Taken.ANSWERED if held.ended else held
 
-    def own(self, name: str, group: str, statement: str, engine: int, memory: float,
-            lasts: int) -> Own | None:
+    def own(
+        self, name: str, group: str, statement: str, engine: int, memory: float, lasts: int
+    ) -> Own | None:
         """A batch of ours at one engine, under a reference that no other bears; None where it can't be
         taken."""
         self.now, row = self._clock.now(), self._groups.get(group)
@@ -226,9 +274,18 @@
         self._room -= len(body)
         heapq.heappush(self._guards, (limit, next(self._serial), held))
         held.arrival = Arrival(
-            index=held.index, group=row, customer=0, key=None, time_limit=limit, cost=0, memory=memory,
-            is_retry=False, tables=table_group(statement), among=frozenset({engine}),
-            spare=True)
+            index=held.index,
+            group=row,
+            customer=0,
+            key=None,
+            time_limit=limit,
+            cost=0,
+            memory=memory,
+            is_retry=False,
+            tables=table_group(statement),
+            among=frozenset({engine}),
+            spare=True,
+        )
         self._take(held)
         self._settle(held)
         self._guard()
@@ -311,8 +368,7 @@
                 continue
             engine = self._names.index(member.name)
             (self._gone if gone else there).add(engine)
-            self._engines.listed(
-                engine, member.address, member.started, gone)
+            self._engines.listed(engine, member.address, member.started, gone)
             entries.append(member.entry(engine))
         self._gone -= there
         if change.whole:
@@ -361,8 +417,13 @@
 
     def _learn(self, held: Request, engine: int, end: End) -> None:
         tables = held.arrival.tables if held.arrival is not None else 0
-        ran = Ran(tables, writes(held.body), engine, round(_told(end.told, "elapsed") * 10),
-                  isinstance(held.client, Inner))
+        ran = Ran(
+            tables,
+            writes(held.body),
+            engine,
+            round(_told(end.told, "elapsed") * 10),
+            isinstance(held.client, Inner),
+        )
         for part in self._learners:
             self._call(None, part.ran, ran)
 
@@ -437,8 +498,14 @@
         left = held.limit - self.now
         wait = left if time_out == 0 else min(time_out, left)
         attempt = Attempt(
-            held.name.encode(), held.group, max(1, wait // 10), held.grant, held.priority,
-            held.body, held.used)
+            held.name.encode(),
+            held.group,
+            max(1, wait // 10),
+            held.grant,
+            held.priority,
+            held.body,
+            held.used,
+        )
         held.attempts.append(attempt)
         held.out += 1
         attempt.noted = lambda note: self._noted(held, number, note)
--- a/vanerelay/net/sparing.py
+++ b/vanerelay/net/sparing.py
@@ -1,4 +1,5 @@
 """Log lines that any peer can cause: one in a while, with the number of those left out."""
+
 from __future__ import annotations
 
 from typing import Any
--- a/vanerelay/net/statements.py
+++ b/vanerelay/net/statements.py
@@ -1,4 +1,5 @@
 """The table group of a statement: a small lexer that finds the schemas of the tables read or written."""
+
 from __future__ import annotations
 
 import re
@@ -8,14 +9,32 @@
 # What is skipped goes with the token behind it: a match for each took a quarter of a gateway's CPU.
 _TOKEN = re.compile(
     r"""(?:\s+|--[^\n]*|/\*.*?(?:\*/|\Z)|'(?:[^']|'')*(?:'|\Z))*+"""
-    r"""(?:("(?:[^"]|"")*(?:"|\Z))|([^\W\d]\w*)|(\d\w*|[=<>+%|&!;:?]+|.)|\Z)""", re.DOTALL)
+    r"""(?:("(?:[^"]|"")*(?:"|\Z))|([^\W\d]\w*)|(\d\w*|[=<>+%|&!;:?]+|.)|\Z)""",
+    re.DOTALL,
+)
 _WRITE = re.compile(rb"\b(?:into|update|table|overwrite|truncate)\b", re.IGNORECASE)
 _GROUP = re.compile(r"_([0-9]{1,15})\Z")  # no more digits than a figure on the wire may have
 # Words after which a table is named; a comma goes on with the list after the first two kinds.
 _LISTS, _SINGLE = {"from", "using"}, {"join", "into", "update", "table", "overwrite", "truncate"}
 _WRITES = {"into", "update", "table", "overwrite", "truncate"}
-_ENDS = {"where", "group", "order", "having", "limit", "union", "on", "set", "select", "values", "window",
-         "intersect", "except", "returning", "qualify", "when"}
+_ENDS = {
+    "where",
+    "group",
+    "order",
+    "having",
+    "limit",
+    "union",
+    "on",
+    "set",
+    "select",
+    "values",
+    "window",
+    "intersect",
+    "except",
+    "returning",
+    "qualify",
+    "when",
+}
 _FUNCTIONS, _BEFORE_QUERY = {"extract", "trim", "substring", "overlay", "position"}, _LISTS | {"join", ","}
 _WORDS, _SIGNS = _LISTS | _SINGLE | _ENDS, {"(", ")", ","}  # all else means nothing unless a table is awaited
 _BETWEEN = {"only", "lateral", "if", "not", "exists", "table"}
@@ -24,9 +43,14 @@
 def _tokens(statement: str) -> list[tuple[str, str]]:
     """Kind and text of each: a word, a name in quotes, or else."""
     return [
-        ("word", word) if word else ("", other) if other else
-        ("name", quoted[1:].removesuffix('"').replace('""', '"'))
-        for quoted, word, other in _TOKEN.findall(statement) if quoted or word or other]
+        ("word", word)
+        if word
+        else ("", other)
+        if other
+        else ("name", quoted[1:].removesuffix('"').replace('""', '"'))
+        for quoted, word, other in _TOKEN.findall(statement)
+        if quoted or word or other
+    ]
 
 
 def named(statement: str) -> tuple[list[int], list[int]]:
@@ -101,4 +125,3 @@
 def _number(schema: str) -> list[int]:
     match = _GROUP.search(schema)
     return [] if match is None else [int(match.group(1))]
-
--- a/vanerelay/options.py
+++ b/vanerelay/options.py
@@ -23,7 +23,8 @@
 UNITS = {"ms": SECOND // 1000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
 TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)")
 PLAIN = hcl2.SerializationOptions(
-    with_comments=False, explicit_blocks=False, strip_string_quotes=True, preserve_heredocs=False)
+    with_comments=False, explicit_blocks=False, strip_string_quotes=True, preserve_heredocs=False
+)
 
 T = TypeVar("T")
 
@@ -114,10 +115,15 @@
             raise self.wrong(f"{name}: {fault}", name) from None
 
 
-SUBSYSTEMS = {"membership": "vanerelay.membership.parts", "xds": "vanerelay.xds.parts",
-              "fleet": "vanerelay.fleet.parts", "rollout": "vanerelay.rollout.parts",
-              "leases": "vanerelay.leases.parts", "freshness": "vanerelay.freshness.parts",
-              "warming": "vanerelay.warming.parts"}
+SUBSYSTEMS = {
+    "membership": "vanerelay.membership.parts",
+    "xds": "vanerelay.xds.parts",
+    "fleet": "vanerelay.fleet.parts",
+    "rollout": "vanerelay.rollout.parts",
+    "leases": "vanerelay.leases.parts",
+    "freshness": "vanerelay.freshness.parts",
+    "warming": "vanerelay.warming.parts",
+}
 STANDS_ON = (("rollout", "fleet"), ("leases", "fleet"), ("freshness", "leases"), ("warming", "leases"))
 
 
--- a/vanerelay/state.py
+++ b/vanerelay/state.py
@@ -1,4 +1,5 @@
 """What the decision module remembers of dispatches and of the engines listed. Nothing here chooses."""
+
 from __future__ import annotations
 
 from bisect import bisect_left, insort
--- a/vanerelay/terms.py
+++ b/vanerelay/terms.py
@@ -1,4 +1,5 @@
 """The settings, one JSON object on both wires, turned into the interface's types. Nothing here chooses."""
+
 from __future__ import annotations
 
 import dataclasses
@@ -74,7 +75,8 @@
     cores, memory = info.get("cpuOfKind") or [], info.get("memoryByKindMb") or []
     return [
         MachineKind(
-            int(cores[row]) if row < len(cores) else 0, float(memory[row]) if row < len(memory) else 0.0)
+            int(cores[row]) if row < len(cores) else 0, float(memory[row]) if row < len(memory) else 0.0
+        )
         for row in range(len(profile.get("kinds") or []))
     ]
 
--- a/vanerelay/warming/plan.py
+++ b/vanerelay/warming/plan.py
@@ -40,8 +40,7 @@
     room = {name: one.room * one.cores * ROOM_S for name, one in places.items()}
     done, left = list[Wish](), list[Wish]()
     ranked = sorted(
-        wishes,
-        key=lambda one: -(one.worth / one.cost) * (FRESH if places[one.engine].fresh else 1.0),
+        wishes, key=lambda one: -(one.worth / one.cost) * (FRESH if places[one.engine].fresh else 1.0)
     )
     for wish in ranked:
         if len(done) >= MOST:
--- a/vanerelay/warming/planner.py
+++ b/vanerelay/warming/planner.py
@@ -188,15 +188,7 @@
         )
         left = self._budget.left(now, self._trust.part)
         compared = {(wish.group, wish.engine) for _, done, wish in self._open if not done}
-        made = plan(
-            wanted,
-            self._places,
-            left,
-            self._trust.undone,
-            self._chance,
-            compared,
-            self._budget.bar,
-        )
+        made = plan(wanted, self._places, left, self._trust.undone, self._chance, compared, self._budget.bar)
         by = defaultdict[str, list[Wish]](list)
         for wish in made.done:
             by[ranked(f"warm {wish.engine}", [Candidate(name) for name in alive])[0]].append(wish)
--- a/vanerelay/xds/service.py
+++ b/vanerelay/xds/service.py
@@ -217,13 +217,7 @@
     """All proxies, and what they are told."""
 
     def __init__(
-        self,
-        reactor: Any,
-        clock: Clock,
-        parts: Parts,
-        host: Host,
-        terms: Terms,
-        locations: Sequence[str],
+        self, reactor: Any, clock: Clock, parts: Parts, host: Host, terms: Terms, locations: Sequence[str]
     ) -> None:
         self._reactor, self._clock, self._parts, self._served, self._terms = (
             reactor,
