--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,89 @@
+"""Tests that are known to fail are run and passed over; nothing else is."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+TESTS = """
+def test_red():
+    assert False
+
+def test_green():
+    pass
+
+def test_new():
+    assert {new}
+"""
+RED, GREEN = "tests/test_one.py::test_red", "tests/test_one.py::test_green"
+
+
+@pytest.fixture
+def run(pytester):
+    """Runs a small tree of its own, with this file of known tests."""
+
+    def go(known: str | None, new: bool = True, *arguments: str) -> pytest.RunResult:
+        here = Path(__file__).parent
+        pytester.makeini("[pytest]\ntestpaths = tests\n")
+        tests = pytester.mkdir("tests")
+        (tests / "known_red.py").write_text((here / "known_red.py").read_text())
+        (tests / "conftest.py").write_text(
+            "import known_red\ndef pytest_configure(config): known_red.configure(config)\n"
+        )
+        (tests / "test_one.py").write_text(TESTS.format(new=new))
+        if known is not None:
+            (pytester.path / "KNOWN-RED.txt").write_text(known)
+        return pytester.runpytest_subprocess(*arguments)
+
+    return go
+
+
+@pytest.mark.parametrize("known", [None, "", "\n"])
+def test_without_lines_every_failure_counts(run, known):
+    result = run(known)
+    assert result.ret == 1
+    result.assert_outcomes(passed=2, failed=1)
+
+
+def test_a_known_test_runs_and_is_passed_over_and_printed(run):
+    result = run(f"{RED}, the cause is not found, 39\n")
+    assert result.ret == 0
+    result.assert_outcomes(passed=2, xfailed=1)
+    result.stdout.fnmatch_lines([f"known red: {RED}, the cause is not found, 39"])
+
+
+def test_a_new_failure_beside_a_known_one_fails_the_run(run):
+    result = run(f"{RED}, a cause, 39\n", new=False)
+    assert result.ret == 1
+    result.assert_outcomes(passed=1, failed=1, xfailed=1)
+
+
+def test_a_known_test_that_passes_is_a_pass(run):
+    result = run(f"{GREEN}, a cause, 39\n{RED}, a cause, 39\n")
+    assert result.ret == 0
+    result.assert_outcomes(passed=2, xfailed=1)
+
+
+@pytest.mark.parametrize(
+    "known",
+    [
+        "\n".join(f"tests/test_one.py::test_{name}, a cause, 39" for name in ("red", "green", "new", "x")),
+        f"{RED}, a cause",
+        f"{RED}, , 39",
+        f"{RED}, a cause, soon",
+        "test_red, a cause, 39",
+        f"{RED}, a cause, 39\n{RED}, another, 40",
+        "tests/test_one.py::test_none, a cause, 39",
+        "tests/test_none.py::test_red, a cause, 39",
+    ],
+)
+def test_a_file_that_cannot_be_used_fails_the_run(run, known):
+    result = run(known)
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+    assert "KNOWN-RED.txt" in result.stderr.str()
+
+
+def test_a_part_of_the_tests_can_be_run_by_itself(run):
+    result = run(f"{RED}, a cause, 39\n", True, GREEN)
+    assert result.ret == 0
