--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,273 @@
+"""Pairs of events that cross, in the order that does harm; docs/design/races.md lists them.
+
+Every order is brought about by what has happened, never by a length of sleep: a connect is held up by a full
+queue of connections, a process by a signal that stops it.
+"""
+
+from __future__ import annotations
+
+import signal
+import socket
+import struct
+
+import pytest
+
+from tests.helpers import SERVICES, member, ref, reset, stand_still, until
+
+CONNECT = {"dialTimeoutUs": 20_000_000}  # longer than a test takes: the connect is let through before
+LEAVE, READY = 8, 16
+
+
+def returns(engine, connection, ident):
+    engine.returns(connection, ident)
+
+
+def frame(kind, stream, payload=b""):
+    return struct.pack(">IBI", 5 + len(payload), kind, stream) + payload
+
+
+def settle(client):
+    """Returns once all that the client sent, and all that others sent before, has been read."""
+    client.send(frame(READY, 0, b"\0"))
+    kind, *_ = client.read()
+    assert kind == 32
+
+
+def classes(**change):
+    return {"classes": [{**SERVICES["classes"][0], **change}, SERVICES["classes"][1]]}
+
+
+def cancels(client):
+    client.send(frame(LEAVE, 1))
+
+
+def closes(client):
+    client.file.close()
+    client.socket.close()
+
+
+def half_closes(client):
+    client.socket.shutdown(socket.SHUT_WR)
+
+
+def resets(client):
+    reset(client.socket)
+
+
+@pytest.mark.parametrize("leaves", [cancels, closes, half_closes, resets])
+@pytest.mark.parametrize(
+    "limits", [{"cancel": False}, {"cancel": False, "secondCopies": True}, {"cancel": True}]
+)
+@pytest.mark.parametrize("service", ["look", "load"])
+def test_a_client_leaves_while_its_attempt_waits_for_a_connection(started, leaves, limits, service):
+    """Where nothing can be cancelled the attempt was begun all the same once the connection came up."""
+    engine = started.engine(returns, full=True)
+    node = started(member(engine), limits={**CONNECT, **limits})
+    client, other = node.client(), node.client()
+    client.ask(1, "a1", service)
+    until(engine.called, "the connect")
+    leaves(client)
+    settle(other)
+    engine.open()
+    until(lambda: len(engine.connections) == 2, "the connection")  # the first is the one that took the room
+    other.ask(1, "b1", service)
+    assert other.answer()[:2] == (1, 0) and engine.served() == ["b1"]
+
+
+@pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
+def test_an_engine_is_taken_off_the_list_while_an_attempt_waits_for_a_connection(started, phase):
+    """The attempt was begun whenever the connection came up, past any grace."""
+    slow, other = started.engine(returns, full=True), started.engine(returns)
+    node = started(member(slow, "s-1"), limits=CONNECT)
+    client = node.client()
+    client.ask(1, "a1", "load")
+    until(slow.called, "the connect")
+    node.feed.heard(node.feed.tell(member(slow, "s-1", phase), member(other, "s-2")))
+    slow.open()
+    assert client.answer()[:2] == (1, 0) and other.served() == ["a1"] and slow.served() == []
+
+
+def test_the_window_for_repeats_ends_while_an_attempt_waits_for_a_connection(started):
+    """It was looked at when the attempt was planned, not when it was written."""
+    first, second = started.engine(lambda *_: None), started.engine(returns, full=True)
+    settings = classes(semantics="token", dedupScope="all", windowUs=600_000)
+    node = started(member(first, "s-1"), limits={**CONNECT, "secondCopies": True}, settings=settings)
+    client = node.client()
+    client.ask(1, "a1")
+    until(first.served, "the first attempt")
+    node.feed.heard(node.feed.tell(member(first, "s-1", "DRAINING"), member(second, "s-2")))
+    reset(first.connections[0])
+    until(second.called, "the connect")
+    second.open()  # the system tries it again a second after the first try
+    assert client.answer()[:2] == (1, 1) and second.served() == []  # harmless, as all engines drop repeats
+
+
+def test_a_client_has_gone_before_its_query_is_read(started):
+    """A process that stood still reads a query, and only with its next look the end of its client."""
+    engine = started.engine(returns)
+    node = started(member(engine))
+    client, other = node.client(), node.client()
+    settle(client)
+
+    def ask_and_go():
+        client.ask(1, "a1")
+        closes(client)
+
+    stand_still(node, ask_and_go, 0.3)
+    other.ask(1, "b1")
+    assert other.answer()[:2] == (1, 0) and engine.served() == ["b1"]
+
+
+def test_a_client_has_gone_while_its_query_waits_in_line(started):
+    """The answer that makes room for it and its client's end come in one look, the answer first."""
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    one_at_a_time = {**SERVICES["familyInfo"], "parallelism": [100, 100]}
+    node = started(member(engine), settings={"familyInfo": one_at_a_time})
+    busy, client, other = node.client(), node.client(), node.client()
+    busy.ask(1, "w1")
+    until(lambda: held, "the attempt that fills the engine")
+    client.ask(1, "a1")
+    settle(client)
+
+    def answer_and_go():
+        engine.script = returns
+        engine.returns(*held[0])
+        closes(client)
+
+    stand_still(node, answer_and_go, 0.3)
+    other.ask(1, "b1")
+    assert other.answer()[:2] == (1, 0) and engine.served() == ["w1", "b1"]
+
+
+@pytest.mark.parametrize("rest", [b"x" * 40_000_000, frame(2, 1, b"\0") * 4_000_000], ids=["noise", "frames"])
+def test_a_client_that_breaks_the_protocol_gets_its_answers_whole(started, rest):
+    """A close over what it had still sent was a reset, which takes along what was not read yet."""
+    engine = started.engine(lambda *_: None)
+    node = started(member(engine))
+    client = node.client()
+    client.ask(1, "a1")
+    until(engine.served, "the attempt")
+    client.send(frame(99, 1) + rest)
+    assert client.read() == (4, 1, b"\2\0") and client.read() == (4, 0, b"\2\0")
+    assert client.socket.recv(1) == b""  # its end, no reset
+
+
+def test_a_resting_connection_is_ended_by_a_drain_and_a_query_crosses(started):
+    """It is read after our end, and is not sent on; who never ends its side does not keep us from ending."""
+    engine = started.engine(returns)
+    node = started(member(engine))
+    client = node.client()
+    settle(client)
+    node.process.send_signal(signal.SIGTERM)
+    assert client.read() == (64, 0, b"")
+    assert client.socket.recv(1) == b""
+    client.ask(1, "a1")
+    assert node.process.wait(30) == 0 and engine.served() == []
+
+
+def test_a_query_that_comes_after_the_time_for_queries_is_rejected_at_once(started):
+    """It was taken, and lost where the kill came before its answer."""
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    node = started(member(engine))
+    client, resting = node.client(), node.client()
+    client.ask(1, "a1", "load")
+    settle(resting)
+    until(lambda: held, "the attempt")
+    node.process.send_signal(signal.SIGTERM)
+    assert resting.read() == (64, 0, b"") and resting.socket.recv(1) == b""  # the time is over
+    client.ask(2, "a2")
+    assert client.read() == (64, 0, b"") and client.answer()[:2] == (2, 1)
+    engine.returns(*held[0])
+    assert client.answer()[:2] == (1, 0) and node.process.wait(30) == 0 and engine.served() == ["a1"]
+
+
+def test_queries_that_had_come_when_the_time_for_queries_ended_are_answered(started):
+    """They lay unread while the process stood still over the end of a drain's times."""
+    engine = started.engine(returns)
+    node = started(member(engine))
+    client = node.client()
+    settle(client)
+
+    def term_and_ask():
+        node.process.send_signal(signal.SIGTERM)
+        client.ask(1, "a1")
+
+    stand_still(node, term_and_ask, 0.9)
+    answers = [client.read(), client.read()]
+    assert (64, 0, b"") in answers and any(one[:2] == (4, 1) and one[2][0] == 0 for one in answers)
+    assert node.process.wait(30) == 0
+
+
+def test_two_terminations_and_new_configurations_in_between_are_one(started):
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    node = started(member(engine))
+    client = node.client()
+    client.ask(1, "a1", "load")
+    until(lambda: held, "the attempt")
+    for sent in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        node.process.send_signal(sent)
+    assert client.read() == (64, 0, b"")
+    node.process.send_signal(signal.SIGTERM)
+    engine.returns(*held[0])
+    assert client.answer()[:2] == (1, 0) and node.process.wait(30) == 0
+    assert "Traceback" not in node.log.read_text()
+
+
+@pytest.mark.parametrize(
+    ("told", "code", "fields"),
+    [
+        ({"replay": "0ad86c9d46b2f30e6728b01990d675c6"}, 0, "op=0ad86c9d46b2f30e6728b01990d675c6"),
+        ({"replay": "a-b_c.d:e/f+9"}, 0, "op=a-b_c.d:e/f+9"),
+        ({"replay": "a,pool=9"}, 2, None),
+        ({"replay": "a=b"}, 2, None),
+        ({"replay": "x" * 129}, 2, None),
+        ({"replay": "\n"}, 2, None),
+    ],
+)
+def test_the_key_of_repeats_reaches_every_engine_unaltered(started, told, code, fields):
+    """Without it no engine can tell a repeat; seen under settings of our own, on every day."""
+    engine = started.engine(returns)
+    settings = classes(semantics="token", dedupScope="all", windowUs=5_000_000)
+    client = started(member(engine), settings=settings).client()
+    client.ask(1, "a1", **told)
+    assert client.answer()[:2] == (1, code)
+    sent = [command[2].split(",") for command in engine.commands if command[0] == "serve"]
+    assert [fields in one for one in sent] == ([True] if fields else [])
+
+
+def test_queries_of_one_key_run_one_at_a_time_in_order(started):
+    """The key was not read from the frame: all of them ran at once."""
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    settings = classes(inTurn=True)
+    client = started(member(engine), settings=settings).client()
+    for stream, key in ((1, "t-7"), (2, "t-7"), (3, "t-8")):
+        client.ask(stream, f"a{stream}", lookup=key)
+    settle(client)
+    until(lambda: len(held) == 2, "the first of each key")
+    assert sorted(engine.served()) == ["a1", "a3"]
+    for connection, ident in list(held):
+        engine.returns(connection, ident)
+    until(lambda: len(held) == 3, "the second of its key")
+    assert held[2][1] == ref("a2")
+
+
+def test_a_client_that_floods_the_same_query_and_leaves_earns_no_attempts(started):
+    """Seen on a day with bad clients under settings of our own: they broke the ration of further attempts."""
+    engine = started.engine(lambda e, c, i: reset(c))
+    safety = {**SERVICES["safety"], "ratioSpanUs": 20_000_000, "extraRatio": 0.1, "minExtra": 1}
+    node = started(member(engine), settings={"safety": safety})
+    flood, client = node.client(), node.client()
+    for stream in range(1, 101):
+        flood.ask(stream, "f0")
+        flood.send(frame(LEAVE, stream))
+    settle(flood)
+    asked = [f"a{stream}" for stream in range(1, 9)]
+    for stream, name in enumerate(asked, 1):
+        client.ask(stream, name)
+        client.answer()
+    further = [name for name in engine.served() if name in asked]
+    assert len(further) <= len(asked) + 1  # 1 and a tenth of 9 queries
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -279,10 +279,12 @@
     LITTLE = 0.5  # part of it that batches of the least worth may use up
 
     def __init__(self, terms: RationTerms) -> None:
-        self.terms, self.ring = terms, Ring(terms.span or 10 * SECOND, 2, 50)  # taken, further dispatches
+        # Queries taken, further attempts, and the queries that earn none of those.
+        self.terms, self.ring = terms, Ring(terms.span or 10 * SECOND, 3, 50)
 
     def allows(self, now: int, little: bool = False) -> bool:
-        most = self.terms.free + self.terms.share * self.ring.total(now, 0, short=True)
+        earning = max(0.0, self.ring.total(now, 0, short=True) - self.ring.total(now, 2))
+        most = self.terms.free + self.terms.share * earning
         return not self.terms.span or self.ring.total(now, 1) + 1 <= most * (self.LITTLE if little else 1.0)
 
 
@@ -351,13 +353,19 @@
         known = self.group.effect is Effect.REFERENCED and self.group.scope is Scope.ALL
         return known or self.allowed_until() == math.inf  # rule 2, of a pushback
 
-    def allowed_until(self) -> float:
-        """Rule 2: when the last further dispatch may go; all of them may where none so far may have run."""
-        if self.group.effect is Effect.REPEATABLE or not any(send.ran for send in self.sends):
+    def allowed_until(self, before: int | None = None) -> float:
+        """Rule 2: when the last further dispatch may go; all of them may where none `before` may have run."""
+        ran = [send.sent for send in self.sends[:before] if send.ran]
+        if self.group.effect is Effect.REPEATABLE or not ran:
             return math.inf
-        first = min(send.sent for send in self.sends if send.ran)
+        first = min(ran)
         return first + self.group.window - 1 if self.group.effect is Effect.REFERENCED else -math.inf
 
+    def may_begin(self, attempt: int) -> bool:
+        """Rules 1 to 3, asked again when an attempt is written: it may have waited long for a connection."""
+        late = self.gateway.transport.now >= self.allowed_until(attempt)
+        return not self.over and not late and self.sends[attempt].engine.listed
+
     def bound_to(self) -> Bounds:
         ran = [send.engine.entry for send in self.sends if send.ran]
         scope = self.group.scope if ran and self.group.effect is Effect.REFERENCED else Scope.ALL
@@ -399,6 +407,7 @@
 
     def left(self) -> None:
         self.over = True
+        self.gateway.unearned(self.arrival)
         for dispatch in [n for n, send in enumerate(self.sends) if send.out and self.gateway.allowed.cancel]:
             self.gateway.transport.cancel(self.arrival.index, dispatch)  # withdrawn by the hundred
         self.gateway.finished(self)
@@ -503,7 +512,7 @@
     def take(self, arrival: Arrival) -> Batch:
         now, group, self._rank = self.transport.now, self._groups[arrival.group], self._rank + 1
         batch = Batch(self, arrival, group, self._rank)
-        self._ration.ring.add(now, 0 if arrival.spare else 1, 0)
+        self._ration.ring.add(now, 0 if arrival.spare else 1, 0, 0)
         self._offered.add(now, self.pace.weight(arrival.group, arrival.cost))
         work = self.pace.work(arrival.group, arrival.cost)
         if not self._door.admits(group.utility, work) or arrival.time_limit <= now + self._margin:
@@ -517,6 +526,9 @@
             self.hold(batch, batch.key is None or self.turns.next(now, batch.key) == (batch, 0))
         return batch
 
+    def unearned(self, arrival: Arrival) -> None:  # many may come and leave at once: they earn no attempts
+        self._ration.ring.add(self.transport.now, 0, 0, 0 if arrival.spare else 1)
+
     def _thin(self, key: int) -> None:
         """Departure: of batches of one key that cannot all end within their goals the longest is given up."""
         end, kept = float(self.transport.now), list[tuple[float, int, Batch]]()
@@ -555,7 +567,7 @@
         engine = self._picker.draw(now, fitting, batch, usual)
         light = self.pace.alone(arrival.group, arrival.cost) < batch.group.goal / 4  # soon wanted
         self.transport.grant(arrival.index, round(grant), 2 if light and self.allowed.priorities else 1)
-        self._ration.ring.add(now, 0, 1 if batch.sends else 0)
+        self._ration.ring.add(now, 0, 1 if batch.sends else 0, 0)
         run = self.pace.run(now, arrival.group, arrival.cost)
         send = Dispatch(engine, grant, holds, now, now)
         self.out[id(send)] = batch, len(batch.sends)
--- a/vanerelay/interface.py
+++ b/vanerelay/interface.py
@@ -227,7 +227,7 @@
 class Arrival:
     """A batch as it comes in; cost is 0 and memory 0 where no estimate was told. The number of its table
     group is the same at every gateway. `among`: the engines that may serve it now, None: all; looked at anew
-    for each dispatch. `spare`: of our own, which no client brought: it earns no further dispatches."""
+    for each dispatch. `spare`: it earns no further dispatches: no client brought it, or brought it again."""
 
     index: int
     group: int
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -24,6 +24,8 @@
 
 IDLE_S = 4.0  # clients close connections idle for this long; one that takes nothing for as long is given up
 KEPT_S = 2 * IDLE_S  # who keeps one longer without a request has forgotten it
+LINGER_S = 1.0  # what a client sends after our end is read and dropped for so long, until its own end comes
+CLOGGED_BYTES = 262_144  # of answers that a client does not take, past which its further queries are rejected
 # A client that sends nothing whole is owed an end within 3 s of connecting; each has its turn at a sweep.
 WHOLE_S, SWEEP_S = 2.0, 0.25
 
@@ -67,7 +69,8 @@
         self._earlier, self._until_pass = 0, -1
         self._last_frame_sent = self._closing = self._deaf = self._lost = False
         self._stuck: Any = None
-        self._paused_since: int | None = None
+        self._lingers: Any = None
+        self._clogged, self._unsent = False, 0  # the transport holds much that has not left; bytes since then
         self._unusable = 0
         self.used_at = clients.reactor.seconds()
         self.silent, self.ended = True, False  # whether nothing whole has come; whether it is to end now
@@ -91,7 +94,7 @@
 
     def _owe(self) -> None:
         waits = self.silent or self._reader.partial
-        self._clients.owes(self, waits and not self._deaf and self._paused_since is None)
+        self._clients.owes(self, waits and not self._deaf)
 
     def _may_be_older(self, since: int) -> None:
         self._earlier, self._until_pass = since, self._clients.clock.passes + 1
@@ -125,6 +128,8 @@
             if asked is not None:
                 asked.left()
             self._rest()
+        elif self._closing or self._clogged and self._unsent > CLOGGED_BYTES:
+            self._write(frames.answer(frames.ANSWER, frame.stream, frames.PUSHED_BACK, {}))
         elif len(self.open) >= frames.OPEN_MOST:
             self._write(frames.answer(frames.ANSWER, frame.stream, frames.PUSHED_BACK, {}))
             self.refuse("more requests open than there may be")
@@ -159,6 +164,7 @@
     def _write(self, data: bytes) -> None:
         """Hands bytes over and has them sent now: Twisted alone would wait for the end of its pass, which is
         long when much has come at once. What could not be sent, or the connection's end, it finds itself."""
+        self._unsent = self._unsent + len(data) if self._clogged else 0
         self.transport.write(data)
         self.transport.doWrite()
 
@@ -177,19 +183,34 @@
             self._write(frames.frame(frames.LAST, 0))
 
     def end_when_answered(self) -> None:
-        """Ends once nothing is open; what still comes until then is taken and answered like all else."""
+        """Ends once nothing is open. What had come until now is taken; what comes later is rejected at once,
+        as little time may be left to answer it."""
+        self.look()
         self._closing = True
         self._rest()
 
     def end(self) -> None:
+        """Ends our side once all has left. What the client still sends is read and dropped until its own end
+        comes, for a while: a close over unread bytes is a reset, which takes answers along."""
         ended, self.ended, self._deaf = self.ended, True, True
-        if not ended and not self._lost:
-            self.transport.unregisterProducer()
+        if ended or self._lost:
+            return
+        self._reader.drop()
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self._lingers = self._clients.reactor.callLater(LINGER_S, self.close)
+        self._clients.lingers(self)
+
+    def close(self) -> None:
+        """Closes at once."""
+        if not self._lost:
             self.transport.loseConnection()
+        if not self._lost:  # something has not left: nobody takes it
+            self.transport.abortConnection()
 
     def look(self) -> None:
-        """Reads what waits in its socket, before this connection is taken for a silent one."""
-        if not self._deaf and not self._lost and self._paused_since is None:
+        """Reads what waits in its socket, before this connection is taken for one that rests."""
+        if not self._deaf and not self._lost:
             self.transport.doRead()
 
     def _rest(self) -> None:
@@ -199,23 +220,16 @@
     # The transport's word on how its buffer stands.
 
     def pauseProducing(self) -> None:
-        self.transport.pauseProducing()
-        if self._paused_since is None:
-            self._paused_since = self._since()
-            self._clients.owes(self, False)  # it may have sent the rest: nobody reads it now
+        """Reading goes on, or it would not be noticed that the client has left; what it asks is bounded."""
+        self._clogged = True
         if self._stuck is None:
             self._stuck = self._clients.reactor.callLater(IDLE_S, self._give_up)
 
     def resumeProducing(self) -> None:
+        self._clogged, self._unsent = False, 0
         if self._stuck is not None:
             self._stuck.cancel()
             self._stuck = None
-        if self._paused_since is not None:
-            self._may_be_older(self._paused_since)
-            self._paused_since = None
-            self._owe()
-        if not self._lost:
-            self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
         pass
@@ -227,9 +241,10 @@
 
     def connectionLost(self, reason: Failure = GONE) -> None:
         self._lost = True
-        if self._stuck is not None:
-            self._stuck.cancel()
-            self._stuck = None
+        for timer in (self._stuck, self._lingers):
+            if timer is not None and timer.active():
+                timer.cancel()
+        self._stuck = self._lingers = None
         self._reader.drop()
         self._clients.parted(self)
         gone, self.open = list(self.open.values()), {}
@@ -262,6 +277,9 @@
         self._spare = spare
         self.reactor, self.clock, self.service, self.pool, self._most = reactor, clock, service, pool, most
         self._all: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest unused first
+        self._lingering: OrderedDict[ClientConnection, None] = (
+            OrderedDict()
+        )  # ended on our side, oldest first
         self._port: Any = None
         # Those that owe something whole, the first to be overdue first.
         self._owing: OrderedDict[ClientConnection, float] = OrderedDict()
@@ -285,12 +303,14 @@
 
     @property
     def number(self) -> int:
-        return len(self._all)
+        """All that hold a descriptor."""
+        return len(self._all) + len(self._lingering)
 
     def joined(self, connection: ClientConnection) -> bool:
         """Whether there is room: the longest idle connection goes before the share runs out."""
         self._all[connection] = None
         self.owes(connection, True)
+        self._bound_lingering()
         if len(self._all) <= self._most:
             return True
         self._crowded.warn(connections=len(self._all))
@@ -302,7 +322,7 @@
         if silent is not None and silent.used_at < new_since:
             silent.look()
             if silent.silent:
-                self._end(silent)
+                silent.end()
                 return True
         idle = next(
             (
@@ -315,12 +335,20 @@
         if idle is None:
             # Turned away, what it has sent already would be lost: only where no descriptor is left.
             return self._spare()
-        self._end(idle)
+        idle.end()
         return True
 
-    def _end(self, connection: ClientConnection) -> None:
-        self.parted(connection)
-        connection.end()
+    def lingers(self, connection: ClientConnection) -> None:
+        """Its end was told; it holds its descriptor until the client's own end comes."""
+        self._all.pop(connection, None)
+        self._owing.pop(connection, None)
+        self._lingering[connection] = None
+        self._bound_lingering()
+
+    def _bound_lingering(self) -> None:
+        """Those that were ended have what the others leave of the share."""
+        while self._lingering and self.number > self._most:
+            self._lingering.popitem(last=False)[0].close()
 
     def used(self, connection: ClientConnection) -> None:
         connection.used_at = self.reactor.seconds()
@@ -345,14 +373,16 @@
             if now - connection.used_at < KEPT_S:
                 break
             if not connection.open and not connection.ended:
-                self._end(connection)
+                connection.end()
 
     def parted(self, connection: ClientConnection) -> None:
         self._all.pop(connection, None)
         self._owing.pop(connection, None)
+        self._lingering.pop(connection, None)
 
     def stop_listening(self) -> None:
         if self._port is not None:
+            self._port.doRead()  # who has come is taken: the close would reset what was not accepted
             self._port.stopListening()
             self._port = None
 
--- a/vanerelay/net/clock.py
+++ b/vanerelay/net/clock.py
@@ -2,26 +2,69 @@
 
 from __future__ import annotations
 
+import errno
 import time
 from collections.abc import Callable
 
 from twisted.internet.epollreactor import EPollReactor
+from twisted.python import log
 
 UNITS = 10_000  # of the module's time in a second
+# A client that has gone may not see an attempt begin over 0.1 s later: what is older than this is looked at
+# once more before an attempt begins.
+FRESH = UNITS // 20
+LOOKS = 2  # after so many looks an attempt begins, however long the passes take
 
 
 class Clock:
-    """The system's Unix clock in the module's unit, never backwards."""
+    """The system's Unix clock in the module's unit, never backwards, and until when the loop has seen all."""
 
     def __init__(self, read: Callable[[], float] = time.time) -> None:
         self._read, self._last = read, 0
         self.looked = 0  # the last moment at which what has now come was not there yet
         self.passes = 0  # of the event loop
+        self._seen_until: int | None = None  # all that had come by then has been handled; None: no loop runs
+        self._waiting: list[tuple[Callable[[], None], int]] = []  # and the looks that each may still wait for
 
     def now(self) -> int:
         self._last = max(self._last, int(self._read() * UNITS))
         return self._last
 
+    @property
+    def fresh(self) -> bool:
+        """Whether all has been handled that had come shortly before: not so where the process stood still, or
+        where a pass takes long."""
+        return self._seen_until is None or self.now() - self._seen_until <= FRESH
+
+    def after_look(self, callback: Callable[[], None]) -> None:
+        """Calls back once the sockets were looked at again, which is done without any wait."""
+        self._waiting.append((callback, LOOKS - 1))
+
+    def when_fresh(self, callback: Callable[[], None]) -> None:
+        """Calls back at once, or after a look at the sockets where the last one was too long ago."""
+        if self.fresh:
+            callback()
+        else:
+            self.after_look(callback)
+
+    @property
+    def awaited(self) -> bool:
+        """Whether somebody waits for the next look at the sockets."""
+        return bool(self._waiting)
+
+    def seen(self, until: int) -> None:
+        """All that had come by then has been handled."""
+        self._seen_until = until
+        waiting, self._waiting = self._waiting, []
+        for callback, looks in waiting:
+            if looks and not self.fresh:
+                self._waiting.append((callback, looks - 1))
+                continue
+            try:
+                callback()
+            except Exception:
+                log.err()  # type: ignore[no-untyped-call]
+
 
 class Reactor(EPollReactor):
     """After a pass that ended late the sockets are read once more before any timer is believed: a poll whose
@@ -37,17 +80,38 @@
     def doIteration(self, delay: float | None) -> None:
         self._clock.looked, self._started_at = self._started_at, self._clock.now()
         self._clock.passes += 1
+        if self._clock.awaited:
+            delay = 0
         began = time.monotonic()
         due = began + (delay or 0.0)
-        super().doPoll(delay)  # type: ignore[no-untyped-call]
+        self.doPoll(delay)
         late = time.monotonic() - due
         # What comes during this second look came after the first began.
         if delay is not None and late > self.LATE:
             self._clock.looked = self._started_at
-            super().doPoll(0)  # type: ignore[no-untyped-call]
+            self.doPoll(0)
         self._latest = max(self._latest, late, began - (self._ended or began))
         self._ended = time.monotonic()
 
+    def doPoll(self, timeout: float | None) -> None:
+        """Waits for events and handles them; as in EPollReactor, but the clock learns when it looked."""
+        due = None if timeout is None else self._clock.now() + int(timeout * UNITS)
+        try:
+            ready = self._poller.poll(-1 if timeout is None else timeout, len(self._selectables))
+        except OSError as fault:
+            if fault.errno == errno.EINTR:
+                return
+            raise
+        # What came after its time ran out, while the process stood still, a poll does not report.
+        looked = self._clock.now() if due is None else min(self._clock.now(), due)
+        for descriptor, event in ready:
+            selectable = self._selectables.get(descriptor)
+            if selectable is not None:
+                log.callWithLogger(  # type: ignore[no-untyped-call]
+                    selectable, self._doReadOrWrite, selectable, descriptor, event
+                )
+        self._clock.seen(looked)
+
     def latest(self) -> float:
         """By how many seconds a pass, of timers or of sockets, was late at most since this was asked last."""
         latest, self._latest = self._latest, 0.0
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from itertools import islice
 from typing import Any
 
@@ -19,7 +20,7 @@
 
 from vanerelay.net.buffers import Pool
 from vanerelay.net.ends import Cause, End, Stage
-from vanerelay.net.resp import Exchange, Note
+from vanerelay.net.resp import Exchange, Note, Query
 
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
@@ -28,19 +29,45 @@
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionSettings:
+    """How connections to engines are used."""
+
+    most_attempts: int  # open on one connection
+    may_cancel: bool
+    may_copy: bool  # whether an attempt may begin while an earlier one of its query is out
+    connect_s: float  # until a connection that has not come up is given up
+    idle_s: float  # until an engine closes a connection that nobody uses
+    patience_s: float  # until an answer that was begun and does not go on is spoilt
+
+    @property
+    def alone(self) -> bool:
+        """Whether each attempt has a connection to itself: where one that was given up must be abandoned, as
+        the next would be a copy, and only the end of its connection does that."""
+        return not self.may_cancel and not self.may_copy
+
+    @property
+    def most(self) -> int:
+        return 1 if self.alone else self.most_attempts
+
+    @property
+    def rest_s(self) -> float:
+        """How long a connection rests until we close it: the engine must not do so first."""
+        return max(self.idle_s / 2, self.idle_s - self.connect_s)
+
+
 class Attempt:
     """One dispatch on its way. `done` fires once, with its End; it never fails."""
 
     __slots__ = (
-        "body",
+        "begun",
         "done",
-        "grant",
-        "group",
         "ident",
         "line",
+        "may_begin",
         "noted",
-        "patience",
-        "priority",
+        "over",
+        "query",
         "sent_at",
         "timer",
         "used",
@@ -48,28 +75,24 @@
     )
 
     def __init__(
-        self,
-        ident: bytes,
-        group: bytes,
-        patience: int,
-        grant: int,
-        priority: int,
-        body: bytes,
-        used: list[Line],
-        words: Sequence[bytes] = (),
+        self, ident: bytes, query: Query | None, used: list[Line], words: Sequence[bytes] = ()
     ) -> None:
-        """`used`: the connections that the batch's dispatches went over; each takes one of them only.
-        `words`: the whole command, where it is an order and no batch."""
-        self.words = words
-        self.ident, self.group, self.patience, self.body, self.used = ident, group, patience, body, used
-        self.grant, self.priority = grant, priority
+        """`used`: the connections that the query's attempts went over; each takes one of them only.
+        `words`: the whole command, where it is an order and no query."""
+        self.ident, self.query, self.used, self.words = ident, query, used, words
         self.done: Deferred[End] = Deferred()
         self.noted: Callable[[Note], None] = lambda note: None
+        # Asked when it is about to be written, which may be long after it was planned.
+        self.may_begin: Callable[[], bool] = lambda: True
         self.line: Line | None = None
         self.timer: Any = None
         self.sent_at = 0.0
+        self.begun = self.over = False  # begun: it has a connection, or waits for one
 
     def end(self, end: End) -> None:
+        if self.over:
+            return
+        self.over = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.timer = self.line = None
@@ -78,6 +101,15 @@
     def give_up(self, cause: Cause) -> None:
         if self.line is not None:
             self.line.give_up(self, cause)
+        elif not self.begun:
+            self.end(End(cause, Stage.NOT_CONNECTED))
+
+    def withdraw(self) -> None:
+        """Nobody waits for it: it is not begun, where it has not been."""
+        if self.line is not None:
+            self.line.withdraw(self)
+        elif not self.begun:
+            self.end(End(Cause.CANCELLED, Stage.NOT_CONNECTED))
 
 
 @implementer(IPullProducer)
@@ -106,6 +138,10 @@
     def stopProducing(self) -> None:
         pass
 
+    def look(self) -> bool:
+        """Reads what has come; whether that was not the connection's end."""
+        return self.transport.doRead() is None
+
     def close(self) -> None:
         self.transport.unregisterProducer()
         self.transport.loseConnection()
@@ -124,18 +160,19 @@
     """
 
     def __init__(self, peer: Peer) -> None:
-        self._peer, self._most = peer, peer.most
-        self.exchange = Exchange(peer.pool, peer.most, peer.may_cancel)
+        self._peer, self._most = peer, peer.settings.most
+        self.exchange = Exchange(peer.pool, peer.settings.most, peer.settings.may_cancel)
         self.waiting: deque[Attempt] = deque()
         self.attempts: dict[bytes, Attempt] = {}
         self._last: bytes | None = None  # its dispatch was handed over last and is not known to have left
         self._leaving: list[tuple[Attempt, End]] = []  # given up, and the word of it not known to have left
         self._awaited: tuple[int, int] | None = None  # what was begun when the patience with it began
         self._patience: Any = None
-        self.used_at, self._heard_at = peer.reactor.seconds(), 0.0
+        self._called_at = self.used_at = peer.reactor.seconds()
+        self._heard_at = 0.0
         self._protocol: EngineProtocol | None = None
         self.over = self._closing = False
-        where = TCP4ClientEndpoint(peer.reactor, peer.host, peer.port, timeout=peer.connect_s)
+        where = TCP4ClientEndpoint(peer.reactor, peer.host, peer.port, timeout=peer.settings.connect_s)
         factory: Any = Factory.forProtocol(lambda: EngineProtocol(self))
         calling: Deferred[Any] = where.connect(factory)
         calling.addCallbacks(self._up, self._failed)
@@ -148,24 +185,28 @@
     def takes(self, ident: bytes) -> bool:
         if self.over or self._closing:
             return False
-        if self._protocol is None:
-            return len(self.waiting) < self._most and all(a.ident != ident for a in self.waiting)
+        if self._protocol is None or self.waiting:
+            return self.busy < self._most and all(a.ident != ident for a in self.waiting)
         return self.exchange.takes(ident)
 
+    def sound(self) -> bool:
+        """Whether its engine has not ended it, as far as has come: asked before a resting one is used."""
+        if self._protocol is not None and not self._protocol.look():
+            self._closing = True  # the transport is about to tell
+        return not self._closing and not self.over
+
     def send(self, attempt: Attempt) -> None:
-        attempt.line, self.used_at = self, self._peer.reactor.seconds()
-        if self._protocol is None:
+        attempt.line, attempt.begun, self.used_at = self, True, self._peer.reactor.seconds()
+        if self._protocol is None or self.waiting:
             self.waiting.append(attempt)
             return
         attempt.used.append(self)
         attempt.sent_at = self.used_at
         self.attempts[attempt.ident] = attempt
-        if attempt.words:
+        if attempt.query is None:
             self.exchange.order(attempt.ident, attempt.words)
         else:
-            self.exchange.serve(
-                attempt.ident, attempt.group, attempt.patience, attempt.grant, attempt.priority, attempt.body
-            )
+            self.exchange.serve(attempt.ident, attempt.query)
         self._flush(attempt.ident)
 
     def drained(self) -> None:
@@ -176,9 +217,18 @@
             attempt.end(end)
         self._retire()
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Ends an attempt that waits for the connection; one that was begun goes on."""
+        if attempt in self.waiting:
+            self.waiting.remove(attempt)
+            attempt.end(End(Cause.CANCELLED, Stage.NOT_CONNECTED))
+
     def give_up(self, attempt: Attempt, cause: Cause) -> None:
         if attempt in self.waiting:
             self.waiting.remove(attempt)
+            # An attempt with little time says nothing of an engine that may be about to take the connection.
+            early = self._peer.reactor.seconds() - self._called_at < self._peer.settings.connect_s / 2
+            cause = Cause.OVER if early and cause is Cause.TIME_OUT else cause
             attempt.end(End(cause, Stage.NOT_CONNECTED))
             return
         stage = self.exchange.give_up(attempt.ident)
@@ -189,13 +239,13 @@
         self._abandon(attempt, End(cause, stage))
 
     def _abandon(self, attempt: Attempt, end: End) -> None:
-        if self._peer.alone and end.stage is Stage.WRITTEN:
+        if self._peer.settings.alone and end.stage is Stage.WRITTEN:
             self._leaving.append((attempt, end))
             self._abort()
         elif self.exchange.out:
             self._leaving.append((attempt, end))
             self._flush()
-            self._peer.reactor.callLater(self._peer.connect_s, self._stuck, attempt)
+            self._peer.reactor.callLater(self._peer.settings.connect_s, self._stuck, attempt)
         else:
             attempt.end(end)
             self._retire()
@@ -250,7 +300,7 @@
         if self._patience is not None and self._patience.active():
             self._patience.cancel()
         if awaited is not None:
-            self._patience = self._peer.reactor.callLater(self._peer.patience_s, self._stopped_short)
+            self._patience = self._peer.reactor.callLater(self._peer.settings.patience_s, self._stopped_short)
 
     def _stopped_short(self) -> None:
         if not self.over:
@@ -299,9 +349,19 @@
         if self.over:
             protocol.abort()
             return
+        self._peer.when_fresh(self._begin)
+
+    def _begin(self) -> None:
+        """Writes what waited for the connection and may still begin: its client may have left meanwhile, its
+        engine the list, and the time within which it may be repeated may be over."""
+        if self.over:
+            return
         waiting, self.waiting = self.waiting, deque()
         for attempt in waiting:
-            self.send(attempt)
+            if self.over or not attempt.may_begin():
+                attempt.end(End(Cause.OVER, Stage.NOT_CONNECTED))
+            else:
+                self.send(attempt)
         self._retire()
 
     def _failed(self, fault: Failure) -> None:
@@ -333,22 +393,14 @@
     def __init__(
         self,
         reactor: Any,
+        pool: Pool,
         host: str,
         port: int,
-        pool: Pool,
-        most: int,
-        may_cancel: bool,
-        alone: bool,
-        connect_s: float,
-        idle_s: float,
-        patience_s: float,
+        settings: ConnectionSettings,
+        when_fresh: Callable[[Callable[[], None]], None],
     ) -> None:
         self.reactor, self.host, self.port, self.pool = reactor, host, port, pool
-        self.may_cancel, self.connect_s, self.alone = may_cancel, connect_s, alone
-        self.patience_s = patience_s
-        self.most = 1 if alone else most
-        # The engine closes at idle_s; ours is closed earlier by what a connection may take to come up.
-        self._idle_s = max(idle_s / 2, idle_s - connect_s)
+        self.settings, self.when_fresh = settings, when_fresh
         self.lines: list[Line] = []
         self.warned = False  # of what it answered, once in its life
 
@@ -359,10 +411,12 @@
             if (
                 line.takes(attempt.ident)
                 and line not in attempt.used
-                and (line.busy or now - line.used_at < self._idle_s)
+                and (line.busy or now - line.used_at < self.settings.rest_s)
             ):
-                if not line.busy:
+                if not line.busy and line.sound():
                     return line
+                if not line.busy:
+                    continue
                 best = line if best is None or line.busy < best.busy else best
         return best if best is None or len(self.lines) >= min(share, best.busy + 1) else None
 
@@ -375,7 +429,7 @@
         """Closes what has been idle so long that the engine is about to."""
         now = self.reactor.seconds()
         for line in list(self.lines):
-            if not line.busy and now - line.used_at >= self._idle_s:
+            if not line.busy and now - line.used_at >= self.settings.rest_s:
                 line.close(False)
 
     def probe(self, tag: bytes) -> None:
@@ -394,21 +448,14 @@
         self,
         reactor: Any,
         pool: Pool,
-        most: int,
-        may_cancel: bool,
-        may_copy: bool,
-        connect_s: float,
-        idle_s: float,
+        settings: ConnectionSettings,
         connections: int,
-        patience_s: float,
+        when_fresh: Callable[[Callable[[], None]], None],
     ) -> None:
-        """`most` dispatches are open on a connection; one alone where a dispatch given up must be abandoned,
-        as the next would be a copy, and only the end of its connection does that. An answer that was begun
-        and does not go on for `patience_s` is spoilt."""
-        self._patience_s = patience_s
-        self._reactor, self._pool, self._most, self._may_cancel = reactor, pool, most, may_cancel
-        self._alone = not may_cancel and not may_copy
-        self._connect_s, self._idle_s, self._connections, self._full = connect_s, idle_s, connections, False
+        """`connections`: the most there may be. `when_fresh` calls back once no client that has left can be
+        unnoticed for long: only then an attempt that waited for its connection begins."""
+        self._reactor, self._pool, self._settings, self._when_fresh = reactor, pool, settings, when_fresh
+        self._connections, self._full = connections, False
         self._gone: set[int] = set()
         self._peers: dict[int, Peer] = {}
         self._called: dict[Peer, None] = {}  # those that have connections, or had when last swept
@@ -431,16 +478,7 @@
         host, _, port = address.rpartition(":")
         self._lives[engine], self._addresses[address] = (address, started), engine
         self._peers[engine] = Peer(
-            self._reactor,
-            host,
-            int(port),
-            self._pool,
-            self._most,
-            self._may_cancel,
-            self._alone,
-            self._connect_s,
-            self._idle_s,
-            self._patience_s,
+            self._reactor, self._pool, host, int(port), self._settings, self._when_fresh
         )
 
     def only(self, there: set[int]) -> None:
@@ -481,7 +519,7 @@
 
     def order(self, engine: int, words: Sequence[bytes], ident: bytes, patience_s: float) -> Deferred[End]:
         """A command that is no batch, answered under `ident`. The Deferred never fails."""
-        attempt = Attempt(ident, b"", 0, 0, 0, b"", [], words)
+        attempt = Attempt(ident, None, [], words)
         self.send(engine, attempt, patience_s)
         return attempt.done
 
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -22,7 +22,7 @@
 from vanerelay.net.clients import Clients
 from vanerelay.net.clock import UNITS, Clock
 from vanerelay.net.ends import End
-from vanerelay.net.engines import Engines
+from vanerelay.net.engines import ConnectionSettings, Engines
 from vanerelay.net.peers import Peers
 from vanerelay.net.roster import Roster
 from vanerelay.net.service import Own, Service
@@ -102,17 +102,16 @@
         descriptors = int(told["limits"].get("sockets") or 1024)
         clients = max(1, descriptors // CLIENT_SHARE)
         patience_s = Health.QUIET * Health.PATIENCE / UNITS
-        engines = Engines(
-            reactor,
-            pool,
-            int(limits.get("multiplex") or 1),
-            allowed.cancel,
-            allowed.copies,
-            connect_s,
-            idle_s,
-            max(1, descriptors - clients - OWN),
-            patience_s,
+        connections = ConnectionSettings(
+            most_attempts=int(limits.get("multiplex") or 1),
+            may_cancel=allowed.cancel,
+            may_copy=allowed.copies,
+            connect_s=connect_s,
+            idle_s=idle_s,
+            patience_s=patience_s,
         )
+        most_connections = max(1, descriptors - clients - OWN)
+        engines = Engines(reactor, pool, connections, most_connections, clock.when_fresh)
         peers = None
         if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
@@ -170,6 +169,7 @@
         gc.disable()
         for part in self._parts:
             part.running()
+        self.reactor.callWhenRunning(self._end_once)
         if self._kept.listen_fd is not None:
             self._end_with_keeper()
         if self._kept.ready_fd is not None:
@@ -177,6 +177,14 @@
         self.reactor.run()
         log.info("ended")
 
+    def _end_once(self) -> None:
+        """SIGTERM may come again while we drain: it says nothing new, and Twisted takes it for a fault."""
+        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self._terminate))
+
+    def _terminate(self) -> None:
+        if not self.service.ending:
+            self.reactor.stop()
+
     def _end_with_keeper(self) -> None:
         """The keeper holds the socket that our clients come by: where it dies we answer and end as well."""
         import ctypes
--- a/vanerelay/net/resp.py
+++ b/vanerelay/net/resp.py
@@ -117,6 +117,21 @@
     return _ROWS.fullmatch(page) is not None
 
 
+@dataclass(frozen=True, slots=True)
+class Query:
+    """A query as its engine is told of it.
+
+    A grant or a priority of 0 is left to the engine. The client's idempotency key is passed on unaltered.
+    """
+
+    service_class: bytes
+    patience_ms: int
+    statement: bytes
+    grant_mb: int = 0
+    priority: int = 0
+    idempotency_key: bytes = b""
+
+
 @dataclass(frozen=True, slots=True)
 class Note:
     """News of a dispatch that goes on."""
@@ -189,17 +204,16 @@
         room = len(self.open) + len(self._left_open) < self._most and not self._reader.broken
         return room and ident not in self.open and ident not in self._left_open
 
-    def serve(
-        self, ident: bytes, group: bytes, patience: int, grant: int, priority: int, body: bytes
-    ) -> None:
-        """Grant and priority of 0 are left to the engine."""
-        told = b"sort=%b,patience=%d" % (group, patience)
-        if grant > 0:
-            told += b",pool=%d" % grant
-        if priority > 0:
-            told += b",band=%d" % priority
+    def serve(self, ident: bytes, query: Query) -> None:
+        told = b"sort=%b,patience=%d" % (query.service_class, query.patience_ms)
+        if query.grant_mb > 0:
+            told += b",pool=%d" % query.grant_mb
+        if query.priority > 0:
+            told += b",band=%d" % query.priority
+        if query.idempotency_key:
+            told += b",op=%b" % query.idempotency_key
         self.open[ident] = None
-        self.out.append(command(b"serve", ident, told, body))
+        self.out.append(command(b"serve", ident, told, query.statement))
 
     def order(self, ident: bytes, words: Sequence[bytes]) -> None:
         """A command of operators' words, answered under `ident` as a dispatch is."""
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -4,8 +4,6 @@
 
 import heapq
 import itertools
-import math
-import re
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -16,20 +14,20 @@
 from vanerelay.decide import Gateway
 from vanerelay.holding import Held, Holding, Names
 from vanerelay.interface import Arrival, AttemptResult, EngineState, Outcome
-from vanerelay.net import ends, feed, frames
+from vanerelay.measure import scatter
+from vanerelay.net import ends, feed, frames, requests
 from vanerelay.net.clients import ClientConnection, Taken
 from vanerelay.net.clock import UNITS, Clock
 from vanerelay.net.ends import Cause, End, Stage
 from vanerelay.net.engines import DROPPED, Attempt, Engines, Line
 from vanerelay.net.peers import Peers
-from vanerelay.net.resp import Note
+from vanerelay.net.resp import Note, Query
+from vanerelay.net.requests import QueryRequest
 from vanerelay.net.statements import table_group, writes
 from vanerelay.seam import Guide, Part, Ran, Want, tells
 
 log = structlog.get_logger()
 
-REF, FIGURE = re.compile("[0-9a-fA-F]{16}"), re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?")
-FIGURE_MOST = 1e8  # no work is as long in milliseconds, no memory as large in MB
 ALLOW_MOST = 2  # times its service group's time limit: the longest that a client can mean to wait
 SPARE_GUARDS = 100  # of batches answered, that are let lie before they are swept out
 LOADS = ("inflight", "queue", "util", "latency_ms", "qps", "eps")  # the page's words for reported values
@@ -49,6 +47,7 @@
         "grant",
         "group",
         "guide",
+        "idempotency_key",
         "limit",
         "priority",
         "service",
@@ -62,16 +61,15 @@
         service: Service,
         client: ClientConnection | Inner,
         stream: int,
-        name: str,
-        group: str,
+        asked: QueryRequest,
         limit: int,
-        body: bytes,
         since: int,
     ) -> None:
-        super().__init__(name)
+        super().__init__(asked.reference)
         self.since = since
         self.service, self.client, self.stream = service, client, stream
-        self.group, self.limit, self.body = group.encode(), limit, body
+        self.group, self.limit, self.body = asked.service_class.encode(), limit, asked.body
+        self.idempotency_key = asked.idempotency_key
         self.attempts: list[Attempt | None] = []
         self.used: list[Line] = []
         self.grant = self.priority = 0
@@ -88,6 +86,25 @@
         self.service.refused(self, wait)
 
 
+class References:
+    """References met lately. Clients bring a new one with each query: one that comes again is no new query,
+    and must not earn attempts for others."""
+
+    KEPT, MOST = 30 * UNITS, 20_000  # time and number after which the older half is forgotten
+
+    def __init__(self, now: int) -> None:
+        self._newer, self._older, self._since = set[int](), set[int](), now
+
+    def again(self, reference: str, now: int) -> bool:
+        """Whether it was met already; it is from now on."""
+        if now - self._since > self.KEPT or len(self._newer) >= self.MOST:
+            self._newer, self._older, self._since = set(), self._newer, now
+        number = int(reference, 16)
+        met = number in self._newer or number in self._older
+        self._newer.add(number)
+        return met
+
+
 class Inner:
     """Who waits for a batch of ours: in the place of a client's connection."""
 
@@ -125,6 +142,7 @@
         """`room`: bytes that the statements of open batches may take together."""
         self._reactor, self._clock, self._engines, self._peers = reactor, clock, engines, peers
         self._refs = set[str]()  # of the batches open: an engine takes two under one for the same
+        self._met = References(clock.now())
         self._read(profile)
         self._names, self._gone = Names(), set[int]()  # engines, and those of them that have left the list
         self._holding: Holding[Request] = Holding()
@@ -192,62 +210,40 @@
         What an engine could not use is not passed on: it closes on what it cannot read, with all else that is
         open there, and its errors would be held against it.
         """
-        told, body = frame.fields, frame.body
         self.now = self._clock.now()
-        group = self._groups.get(told.get("service", ""))
-        customer = self._customers.get(told.get("project", "")) if self._customers else 0
-        allow, effort, space = (_figure(told, name) for name in ("allow", "effort", "space"))
-        name = told.get("ref", "")
-        statement = _text(body)
-        if (
-            group is None
-            or customer is None
-            or allow is None
-            or effort is None
-            or space is None
-            or not statement
-            or allow * 10 > ALLOW_MOST * self._time_limits[group]
-            or not REF.fullmatch(name)
-            or name in self._refs
-        ):
-            self._count_unheld(told, frames.ERRORED)
+        asked = requests.parse(frame)
+        group = self._groups.get(asked.service_class) if asked is not None else None
+        if asked is None or group is None or not self._usable(asked, group):
+            self._count_unheld(frame.fields, frames.ERRORED)
             client.answer(frame.stream, frames.ERRORED, {}, b"")
             return Taken.UNUSABLE
-        full = self._most_open and self.open >= self._most_open or len(body) > self._room
-        if full or self._gateway is None:
-            self._count_unheld(told, frames.PUSHED_BACK)
+        if self._full(len(asked.body)):
+            self._count_unheld(frame.fields, frames.PUSHED_BACK)
             client.answer(frame.stream, frames.PUSHED_BACK, {}, b"")
             return Taken.ANSWERED
         # The client counts from when it sent, which nobody tells: the earliest moment known stands for it.
-        limit = since + int(allow * 10)
-        guide = None
-        if self._leads:
-            want = Want(name, told["service"], statement, self._goals[group], limit - self.now)
-            found = next((led for part in self._leads if (led := part.guide(want)) is not None), None)
-            if isinstance(found, str):
-                self._count_unheld(told, frames.ERRORED)
-                client.answer(frame.stream, frames.ERRORED, {"why": found}, b"")
-                return Taken.ANSWERED
-            guide = found
-        held = Request(self, client, frame.stream, name, told["service"], limit, body, since)
-        self._holding.open(held)
-        self.open += 1
-        self._refs.add(name)
-        self._room -= len(body)
-        heapq.heappush(self._guards, (limit, next(self._serial), held))
+        limit = since + asked.allowed
+        guide = self._guide(asked, self._goals[group], limit)
+        if isinstance(guide, str):
+            self._count_unheld(frame.fields, frames.ERRORED)
+            client.answer(frame.stream, frames.ERRORED, {"why": guide}, b"")
+            return Taken.ANSWERED
+        held = Request(self, client, frame.stream, asked, limit, since)
+        self._hold(held)
         client.open[frame.stream] = held
-        arrival = Arrival(
+        held.guide = guide
+        held.arrival = Arrival(
             index=held.index,
             group=group,
-            customer=customer,
-            key=None,
+            customer=self._customers.get(asked.tenant, 0),
+            key=scatter(asked.order_key, 0) if asked.order_key else None,
             time_limit=limit,
-            cost=int(math.ceil(effort * 10)),
-            memory=space,
+            cost=asked.cost,
+            memory=asked.memory,
             is_retry=False,
-            tables=table_group(statement),
+            tables=table_group(asked.statement),
+            spare=self._met.again(asked.reference, self.now),
         )
-        held.arrival, held.guide = arrival, guide
         if guide is None:
             self._take(held)
         else:
@@ -256,6 +252,30 @@
         self._guard()
         return Taken.ANSWERED if held.ended else held
 
+    def _usable(self, asked: QueryRequest, group: int) -> bool:
+        known = not self._customers or asked.tenant in self._customers
+        in_range = asked.allowed <= ALLOW_MOST * self._time_limits[group]
+        return known and in_range and asked.reference not in self._refs
+
+    def _full(self, size: int) -> bool:
+        """Whether there is no room for one more query with so many bytes of statement."""
+        too_many = self._most_open and self.open >= self._most_open
+        return bool(too_many) or size > self._room or self._gateway is None
+
+    def _guide(self, asked: QueryRequest, goal: int, limit: int) -> Guide | str | None:
+        """Who leads the query; words for its client where it can't be served as it asks."""
+        if not self._leads:
+            return None
+        want = Want(asked.reference, asked.service_class, asked.statement, goal, limit - self.now)
+        return next((led for part in self._leads if (led := part.guide(want)) is not None), None)
+
+    def _hold(self, held: Request) -> None:
+        self._holding.open(held)
+        self.open += 1
+        self._refs.add(held.name)
+        self._room -= len(held.body)
+        heapq.heappush(self._guards, (held.limit, next(self._serial), held))
+
     def own(
         self, name: str, group: str, statement: str, engine: int, memory: float, lasts: int
     ) -> Own | None:
@@ -263,22 +283,19 @@
         taken."""
         self.now, row = self._clock.now(), self._groups.get(group)
         body = statement.encode()
-        full = self._most_open and self.open >= self._most_open or len(body) > self._room
-        if row is None or full or self._gateway is None or self.ending or name in self._refs:
+        if row is None or self._full(len(body)) or self.ending or name in self._refs:
             return None
-        inner, limit = Inner(), self.now + min(lasts, self._time_limits[row])
-        held = Request(self, inner, 0, name, group, limit, body, self.now)
-        self._holding.open(held)
-        self.open += 1
-        self._refs.add(name)
-        self._room -= len(body)
-        heapq.heappush(self._guards, (limit, next(self._serial), held))
+        allowed = min(lasts, self._time_limits[row])
+        asked = QueryRequest(name, group, "", allowed, 0, memory, b"", "", body, statement)
+        inner = Inner()
+        held = Request(self, inner, 0, asked, self.now + allowed, self.now)
+        self._hold(held)
         held.arrival = Arrival(
             index=held.index,
             group=row,
             customer=0,
             key=None,
-            time_limit=limit,
+            time_limit=held.limit,
             cost=0,
             memory=memory,
             is_retry=False,
@@ -328,6 +345,7 @@
             self._finish(held)
             if held.batch is not None:
                 self._call(held, held.batch.left)
+            self._withdraw(held)
         self._settle(held)
 
     def _guard(self) -> None:
@@ -343,6 +361,7 @@
                 self._answer(held, frames.ERRORED, {}, b"")
                 if held.batch is not None:
                     self._call(held, held.batch.left)
+                self._withdraw(held)
                 self._settle(held)
         if len(self._guards) > 2 * self.open + SPARE_GUARDS:
             self._guards = [guard for guard in self._guards if not guard[2].ended]
@@ -497,26 +516,51 @@
         number = len(held.attempts)
         left = held.limit - self.now
         wait = left if time_out == 0 else min(time_out, left)
-        attempt = Attempt(
-            held.name.encode(),
-            held.group,
-            max(1, wait // 10),
-            held.grant,
-            held.priority,
-            held.body,
-            held.used,
+        query = Query(
+            service_class=held.group,
+            patience_ms=max(1, wait // 10),
+            statement=held.body,
+            grant_mb=held.grant,
+            priority=held.priority,
+            idempotency_key=held.idempotency_key,
         )
+        attempt = Attempt(held.name.encode(), query, held.used)
         held.attempts.append(attempt)
         held.out += 1
         attempt.noted = lambda note: self._noted(held, number, note)
         attempt.done.addCallback(self._ended, held, number, self.now, engine)
         attempt.done.addErrback(self._fault)
+        attempt.may_begin = lambda: self._may_begin(held, number)
         if held.ended or wait <= 0 or number >= self._most_dispatches:
             self._reactor.callLater(0, attempt.end, End(Cause.OVER, Stage.NOT_CONNECTED))
+        elif self._clock.fresh:
+            self._begin(held, attempt, engine, wait)
+        else:
+            until = self.now + wait
+            self._clock.after_look(lambda: self._begin_late(held, attempt, engine, until))
+
+    def _begin(self, held: Request, attempt: Attempt, engine: int, wait: int) -> None:
+        if held.guide is not None:
+            held.guide.sent(engine)
+        self._engines.send(engine, attempt, wait / UNITS)
+
+    def _begin_late(self, held: Request, attempt: Attempt, engine: int, until: int) -> None:
+        """An attempt that was planned while it was not known whether its client is still there."""
+        left = until - self._clock.now()
+        if left > 0 and attempt.may_begin():
+            self._begin(held, attempt, engine, left)
         else:
-            if held.guide is not None:
-                held.guide.sent(engine)
-            self._engines.send(engine, attempt, wait / UNITS)
+            attempt.end(End(Cause.OVER, Stage.NOT_CONNECTED))
+
+    def _may_begin(self, held: Request, number: int) -> bool:
+        self.now = self._clock.now()
+        return not held.ended and held.batch is not None and held.batch.may_begin(number)
+
+    def _withdraw(self, held: Request) -> None:
+        """Nobody waits for it any more: what has not begun does not, also where nothing can be cancelled."""
+        for attempt in held.attempts:
+            if attempt is not None:
+                attempt.withdraw()
 
     def _fault(self, fault: Any) -> None:
         log.error("an attempt's end met a fault", fault=fault.getTraceback())
@@ -568,22 +612,8 @@
         log.info(text)
 
 
-def _figure(told: dict[str, str], name: str) -> float | None:
-    """A figure as told, 0 where it is not; None where it cannot be used."""
-    text = told.get(name, "" if name == "allow" else "0")
-    value = float(text) if FIGURE.fullmatch(text) else FIGURE_MOST
-    return value if value < FIGURE_MOST else None
-
-
-def _text(body: bytes) -> str | None:
-    try:
-        return body.decode()
-    except UnicodeDecodeError:
-        return None
-
-
 def _told(told: dict[str, str], name: str) -> float:
-    return _figure(told, name) or 0.0
+    return requests.figure(told, name) or 0.0
 
 
 def _report(text: str) -> dict[str, float]:
