A feed that moved to nobody, stops within an answer or answers without a wait is met

Read, then brought about by scripted feeds (tests/test_crossings.py, each seen to fail before): - After SIGHUP with a feed where nobody listens, nothing was heard any more. The former one is asked in between until the new one has answered. - An answer that stopped in its middle held the watch for the whole poll, and for as long as a connect to an engine may take on top (20 s under the test's settings; told counts after 7 s). An answer has 0.5 s past the poll's wait to begin, as long between two pieces, and 2 s to be whole; connects to the feed have 1 s at most. - A feed that answers at once without news was asked again at once: 4 polls in 20 ms. The next waits up to 0.5 s. - Hundreds of processes came back in step, four times a second, while the feed was down. Pauses double up to 1 s, and chance shortens them.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -249,6 +249,7 @@
     def __init__(self) -> None:
         self.events, self.spoil, self.asked, feed = list[dict[str, Any]](), list[bytes](), list[int](), self
         self.news, self.hangs = threading.Condition(), 0
+        self.stop_short = 0  # answers that break off in their middle, on a connection that stays open
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -268,6 +269,11 @@
                         return
                     feed.news.wait_for(lambda: len(feed.events) > held, wait)
                     told = json.dumps({"n": len(feed.events), "events": feed.events[held:]}).encode()
+                    if feed.stop_short and len(feed.events) > held:
+                        feed.stop_short -= 1
+                        self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + told[:9])
+                        feed.news.wait_for(lambda: False, LONG)
+                        return
                 self.send_response(200)
                 self.send_header("Transfer-Encoding", "chunked")
                 self.end_headers()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import socket
 import struct
+import time
 
 import pytest
 
-from tests.helpers import SERVICES, member, ref, reset, stand_still, until
+from tests.helpers import SERVICES, Feed, member, ref, reset, stand_still, until
 
 CONNECT = {"dialTimeoutUs": 20_000_000}  # longer than a test takes: the connect is let through before
 LEAVE, READY = 8, 16
@@ -271,3 +273,46 @@
         client.answer()
     further = [name for name in engine.served() if name in asked]
     assert len(further) <= len(asked) + 1  # 1 and a tenth of 9 queries
+
+
+def test_a_feed_that_moved_to_where_nobody_is(started):
+    """What the former one had to tell was not heard any more."""
+    one, two = started.engine(returns), started.engine(returns)
+    node = started(member(one, "s-1"))
+    with socket.create_server(("127.0.0.1", 0)) as nobody:
+        dead = f"127.0.0.1:{nobody.getsockname()[1]}"
+    told = json.loads(node.config.read_text())
+    node.config.write_text(json.dumps({**told, "feed": dead}))
+    node.process.send_signal(signal.SIGHUP)
+    until(lambda: "feed fails" in node.log.read_text(), "the failure")
+    node.feed.heard(node.feed.tell(member(one, "s-1", "DELETED"), member(two, "s-2")))
+    client = node.client()
+    client.ask(1, "a1")
+    assert client.answer()[:2] == (1, 0) and two.served() == ["a1"]
+    assert node.log.read_text().count("feed fails") == 1
+
+
+def test_a_feed_that_answers_at_once_without_news_is_not_asked_in_a_storm(started):
+    feed = Feed()
+    node = started(member(started.engine(returns)), feed=feed)
+    empty = b'{"n":1,"events":[]}'
+    feed.spoil.extend(
+        [b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%b" % (len(empty), empty)] * 1000
+    )
+    asked = len(feed.asked)
+    stand_still(node, lambda: None, 0.1)
+    until(lambda: len(feed.asked) > asked + 2, "some polls")
+    seen, began = len(feed.asked), time.monotonic()
+    until(lambda: len(feed.asked) >= seen + 4, "four more polls")
+    assert time.monotonic() - began >= 4 * 0.25
+
+
+def test_a_feed_that_stops_within_an_answer_is_asked_again_before_the_wait_is_over(started):
+    """Each process waited for the rest until the time for the whole poll was over."""
+    feed, one, two = Feed(), started.engine(returns), started.engine(returns)
+    node = started(member(one, "s-1"), feed=feed, limits={"dialTimeoutUs": 20_000_000})
+    feed.stop_short = 1
+    feed.heard(feed.tell(member(one, "s-1", "DELETED"), member(two, "s-2")))
+    client = node.client()
+    client.ask(1, "a1")
+    assert client.answer()[:2] == (1, 0) and two.served() == ["a1"]
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -5,6 +5,7 @@
 import gc
 import json
 import os
+import random
 import resource
 import signal
 from collections.abc import Callable, Mapping, Sequence
@@ -131,7 +132,15 @@
         for part in self._parts:
             changed, answered = part.between(changed, answered)
         self.roster = Roster(
-            reactor, pool, told["feed"], self.places, self.kinds, connect_s, changed, answered
+            reactor,
+            pool,
+            told["feed"],
+            self.places,
+            self.kinds,
+            connect_s,
+            random.Random(self.seed),
+            changed,
+            answered,
         )
         self.clients: Clients = Clients(
             reactor,
