--- a/vanerelay/net/roster.py
+++ b/vanerelay/net/roster.py
@@ -18,7 +18,7 @@
 from vanerelay.net.buffers import Pool
 
 # The page lets a poll wait 5 s, and counts what the feed has to tell as told after 7 s. So long a wait leaves
-SOON_S = 0.5  # an answer without news that comes earlier did not wait: the next is asked for later
+# time for one connection that died silently, for a pause, a lost connect and the poll after it.
 WAIT_MS = 7_000 - 5_000
 CONNECT_S = 1.0  # the longest that a connect to the feed may take, whatever is allowed for engines
 BEGIN_S = 0.5  # past its wait, until an answer has to begin; the same between two of its pieces
