Rules are judged under any legal settings; a restart does not double what a cold engine gets

In its first window a gateway uses half of its part for engines that are older than itself. - A site without a window for cold engines left them idle until they were warm."""

--- /dev/null
+++ b/tests/test_any_settings.py
@@ -0,0 +1,176 @@
+"""Settings of any customer, as long as they are legal: nothing fails under them, and the rules hold."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from rules import SECOND, Judge
+
+from vanerelay import checks, terms
+from vanerelay.interface import Arrival, AttemptResult, EngineEntry, EngineState, LoadReport, Outcome
+
+SPANS_US = [100, 1_000, 50_000, 250_000, 1_000_000, 3_000_000, 20_000_000, 10_000_000_000]
+
+
+def some_class(chance: random.Random, number: int, locations: list[str], kinds: list[str]) -> dict:
+    told = {
+        "name": f"class-{number}-" * chance.choice([1, 30]),
+        "aimUs": chance.choice(SPANS_US),
+        "deadlineUs": chance.choice(SPANS_US),
+        "semantics": chance.choice(list(terms.EFFECTS)),
+        "importance": chance.choice([0, 1, 0.001, 1e6, None]),
+        "lateWorth": chance.choice([0, 0.5, None]),
+        "aimStretch": chance.choice([0, 2, None]),
+        "windowUs": chance.choice([0, 100, 100_000, 1_000_000_000, None]),
+        "dedupScope": chance.choice([*terms.SCOPES, None]),
+        "inTurn": chance.choice([True, False, None]),
+    }
+    if locations and chance.random() < 0.3:
+        told["staysIn"] = [chance.randrange(len(locations))]
+    if kinds and chance.random() < 0.3:
+        told["kindsOnly"] = [chance.randrange(len(kinds))]
+    return told
+
+
+def some_settings(chance: random.Random) -> dict:
+    classes = chance.choice([1, 2, 5, 40])
+    locations = [f"location-{number}" for number in range(chance.choice([0, 1, 3]))]
+    kinds = [f"kind-{number}" for number in range(chance.choice([0, 1, 3]))]
+    told = {
+        "classes": [some_class(chance, number, locations, kinds) for number in range(classes)],
+        "orgs": chance.choice([[], [{"name": "a"}], None]),
+        "kinds": kinds,
+        "failureDomains": locations,
+        "az": chance.choice([0, None]),
+        "groupSize": chance.choice([1, 3, 200, None]),
+        "position": chance.choice([0, None]),
+        "tickUs": chance.choice([0, 1, 5_000, None]),
+        "familyInfo": {
+            "memoryByKindMb": chance.choice([[32768.0] * len(kinds), [], [0] * len(kinds)]),
+            "cpuOfKind": chance.choice([[16] * len(kinds), [], [1] * len(kinds)]),
+            "parallelism": chance.choice([[], [1], [64] * classes]),
+            "grantCap": chance.choice([0.4, 0, 1, 5, None]),
+            "memoryShort": chance.choice([*terms.SHORTAGES, None]),
+            "progressUs": chance.choice([0, 2_000_000, 1, None]),
+            "takesGrants": chance.choice([True, False, None]),
+            "writesTables": [chance.random() < 0.5 for _ in range(classes)],
+            "waitsForLoads": [chance.random() < 0.5 for _ in range(classes)],
+        },
+        "limits": {
+            "maxAttempts": chance.choice([1, 2, 10, None]),
+            "maxRetryAfterUs": chance.choice([0, 1_000_000, None]),
+            **{
+                name: chance.choice([True, False])
+                for name in ("cancel", "secondCopies", "retryAfter", "peers", "probes")
+            },
+        },
+        "safety": {
+            "coldFrom": chance.choice([0, 0.3, 1, None]),
+            "coldUs": chance.choice([0, 1, 10_000_000, None]),
+            "fallMultiple": chance.choice([1, 3, 100, None]),
+            "overloadForUs": chance.choice([0, 1, 2_000_000, None]),
+            "orderPauseUs": chance.choice([0, 1_000_000, None]),
+            "ratioSpanUs": chance.choice([0, 10_000, 10_000_000]),
+            "minExtra": chance.choice([0, 1, 100]),
+            "extraRatio": chance.choice([0, 0.1, 5]),
+        },
+        "report": {"how": chance.choice(["piggyback", "pull", "silent"]), "columns": ["cpu_share"]},
+    }
+    for part in ("familyInfo", "limits", "safety", "report"):
+        if chance.random() < 0.1:
+            told[part] = None
+    return told
+
+
+class Run:
+    """A gateway under such settings, with events drawn by chance and each call judged."""
+
+    def __init__(self, chance: random.Random, settings: dict) -> None:
+        self.chance, self.settings, self.judge = chance, settings, Judge(settings)
+        self.gateway = terms.open_gateway(self.judge, 7, settings)
+        self.gateways = [self.gateway]
+        self._taken = 0
+        self.judge.timed_out = self.time_out
+
+    def change_list(self, whole: bool = False) -> None:
+        entries = []
+        for number in range(4) if whole else [self.chance.randrange(4)]:
+            started = self.chance.choice([0, self.judge.now - SECOND])
+            state = EngineState.UP if whole else self.chance.choice(list(EngineState))
+            places = len(self.settings["failureDomains"] or []), len(self.settings["kinds"] or [])
+            location, kind = (number % max(1, count) for count in places)
+            entry = EngineEntry(number, f"e{number}", location, kind, number % 2, state, 1.0, started)
+            self.judge.engines[number] = entry
+            entries.append(entry)
+        for gateway in self.gateways:
+            gateway.listed(entries, whole)
+
+    def take(self) -> None:
+        self._taken += 1
+        row = self.chance.randrange(len(self.settings["classes"]))
+        limit = min(self.settings["classes"][row]["deadlineUs"] // 100, 60 * SECOND)
+        arrival = Arrival(
+            index=self._taken,
+            group=row,
+            customer=0,
+            key=self.chance.choice([None, 1, 2]),
+            time_limit=self.judge.now + limit,
+            cost=self.chance.choice([0, 10, 10_000]),
+            memory=self.chance.choice([0.0, 10.0, 5e4]),
+            tables=self.chance.choice([0, 5]),
+            is_retry=False,
+        )
+        query = self.judge.took(arrival)
+        query.handle = self.gateway.take(arrival)
+
+    def end(self, query, number: int, outcome: Outcome) -> None:
+        self.judge.ends(query, number, outcome)
+        report = self.chance.choice([None, LoadReport(cores_busy=0.5)])
+        work = self.chance.choice([0, 1, 10_000])
+        result = AttemptResult(outcome, self.judge.now - query.sent[number].at, work, 50.0, report)
+        query.handle.ended(number, result, query.over is not None)
+
+    def time_out(self, query, number: int) -> None:
+        if query.sent[number].ended is None:
+            self.end(query, number, Outcome.TIMED_OUT)
+
+    def step(self) -> None:
+        """What was called off ends, and some of the rest."""
+        for query in list(self.judge.queries.values()):
+            for number, sent in enumerate(query.sent):
+                if sent.ended is not None:
+                    continue
+                if sent.cancelled:
+                    self.end(query, number, Outcome.CANCELLED)
+                elif self.chance.random() < 0.2 and query.over is None:
+                    self.end(query, number, self.chance.choice(list(Outcome)))
+
+    def switch(self) -> None:
+        old, self.gateway = self.gateway, terms.open_gateway(self.judge, 7, self.settings)
+        self.gateway.succeed(old)
+        self.gateways.append(self.gateway)
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_the_rules_hold_under_any_legal_settings(seed):
+    chance = random.Random(seed)
+    settings = some_settings(chance)
+    assert checks.wrong(settings) is None
+    run = Run(chance, settings)
+    run.change_list(whole=True)
+    for number in range(150):
+        if chance.random() < 0.7:
+            run.take()
+        if chance.random() < 0.1:
+            run.change_list()
+        run.step()
+        run.judge.advance(chance.choice([1, 10, 100, 500, 5000]))
+        if number == 75:
+            run.switch()
+    for _ in range(1400):
+        if all(query.over for query in run.judge.queries.values()):
+            break
+        run.judge.advance(500)
+        run.step()
+    assert all(query.over for query in run.judge.queries.values()), "rule 1: a query without an answer"
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -112,7 +112,7 @@
 def test_cold_budget_holds_for_all_gateways_and_lets_batches_through(age, gateways, share):
     cold, work, sent, used = ColdStart(0.3, 10 * SECOND, 3.0, 2 * SECOND), 5000, 0, 0
     for number in range(gateways):
-        ramp = Ramp(cold, "e7", 16, Place(number, gateways, 0), 2 * SECOND)
+        ramp = Ramp(cold, "e7", 16, Place(number, gateways, 0), 2 * SECOND, 0)
         ramp.began = 100 * SECOND
         now = 100 * SECOND + age * SECOND
         assert ramp.share(now) == pytest.approx(share)
@@ -125,6 +125,40 @@
     assert 0.3 * 3.0 * 0.3 * 16 * 2 * SECOND <= sent <= 3.0 * share * 16 * 2 * SECOND
 
 
+@pytest.mark.parametrize("restarted", [0, 20, 30])
+@pytest.mark.parametrize("at", [0.3, 1.0, 1.9])
+def test_thirty_gateways_that_forget_what_they_sent_keep_within_a_cold_engine_s_budget(restarted, at):
+    """What one sent before it was killed still counts, and the next under its name knows nothing of it."""
+    step, cost, sent = SECOND // 10, 100, []
+    began = 1000 * SECOND
+
+    def world(number, now):
+        one = World(engines=0, gateways=30, number=number)
+        one.now = one.gateway._born = now
+        one.gateway.listed([entry(0, started=began)], True)
+        return one
+
+    worlds = [world(number, began) for number in range(30)]
+    for now in range(began, began + 4 * SECOND, step):
+        if now == began + round(at * SECOND):
+            worlds[:restarted] = [world(number, now) for number in range(restarted)]
+        for one in worlds:
+            one.run(now - one.now)
+            for batch in [one.take(cost=cost, memory=1.0) for _ in range(12)]:
+                if batch.sends:
+                    sent.append(now)
+                    batch.ended(0, AttemptResult(Outcome.RETURNED, cost, cost, 1.0), True)
+                else:
+                    batch.left()
+    for end in range(began, began + 4 * SECOND, step):
+        age = max(0, end - COLD.window - began) / COLD.warm_after
+        capacity = 16 * (COLD.share + (1 - COLD.share) * age)
+        allowed = COLD.multiple * capacity * COLD.window / cost
+        window = sum(end - COLD.window < when <= end for when in sent)
+        assert window <= allowed + 2 * allowed**0.5 + 2
+    assert len(sent) > 100
+
+
 @pytest.mark.parametrize(
     ("gateways", "others", "age", "part"),
     [
--- a/vanerelay/decide.py
+++ b/vanerelay/decide.py
@@ -111,9 +111,10 @@
     """Our part of the budget of rule 4. As few share it as it holds large batches for, by name and number."""
 
     BUSY, CAUTION = 0.85, 0.7  # cores busy at capacity; part of the budget used, as costs differ
+    FORGOT = 0.5  # part of ours while what a process of before, under our name, sent may still count
 
-    def __init__(self, cold: ColdStart, name: str, cores: int, place: Place, batch: float) -> None:
-        self._cold, self._name, self._place = cold, name, place
+    def __init__(self, cold: ColdStart, name: str, cores: int, place: Place, batch: float, born: int) -> None:
+        self._cold, self._name, self._place, self._born = cold, name, place, born
         self.began, self.sent = -cold.warm_after - cold.window, Ring(max(1, cold.window), 1)
         whole = cold.multiple * max(1, cores) * self.BUSY * cold.window * self.CAUTION
         self._sharers = max(1, min(place.gateways, int(whole * cold.share / max(1.0, batch))))
@@ -127,11 +128,13 @@
         age = max(0.0, (now - self.began) / max(1, self._cold.warm_after))
         return min(1.0, self._cold.share + (1.0 - self._cold.share) * age)
 
-    def warm(self, now: int) -> bool:
-        return now - self.began >= self._cold.warm_after + self._cold.window
+    def warm(self, now: int) -> bool:  # always, where no window is stated
+        return not self._cold.window or now - self.began >= self._cold.warm_after + self._cold.window
 
     def allows(self, now: int, work: float, kept: float = 1.0) -> bool:  # kept: from proxies
         budget = kept * self._budget * self.share(max(self.began, now - self._cold.window))
+        if self.began < self._born and now < self._born + self._cold.window:
+            budget *= self.FORGOT
         return self.warm(now) or self.mine and self.sent.total(now, 0) + work <= budget
 
 
@@ -453,7 +456,7 @@
             if entry.engine not in self._engines:
                 kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else MachineKind(1, 0.0)
                 large = max(group.goal * group.threads for group in self._groups) / 8
-                ramp = Ramp(self._cold, entry.name, kind.cores, self._place, large)
+                ramp = Ramp(self._cold, entry.name, kind.cores, self._place, large, self._born)
                 engine = Engine(entry, kind, ramp, self.allowed.asks)
                 self._engines[entry.engine] = self._off[entry.engine] = engine
             engine = self._engines[entry.engine]
@@ -610,6 +613,8 @@
         heapq.heappush(self._limits, (batch.give_up_at, batch))
         if in_turn and self.line.join(batch) and not self._due:
             self.line.serve(self.admit)
+        if batch.held and batch.give_up_at <= now:  # the next beat may be past its limit
+            self.give_up(batch)
 
     def _beat(self) -> None:
         now = self.transport.now
--- a/vanerelay/terms.py
+++ b/vanerelay/terms.py
@@ -50,11 +50,11 @@
 
     return [
         ServiceGroup(
-            name=str(c.get("name", row)),
+            name=str(row if c.get("name") is None else c["name"]),
             goal=down(c["aimUs"]),
             goal_stretch=float(c.get("aimStretch") or 0.0),
             time_limit=down(c["deadlineUs"]),
-            utility=float(c.get("importance", 1.0)),
+            utility=1.0 if c.get("importance") is None else float(c["importance"]),
             late_utility=float(c.get("lateWorth") or 0.0),
             effect=EFFECTS[c["semantics"]],
             scope=SCOPES[c.get("dedupScope") or "all"],
@@ -83,7 +83,7 @@
 
 def place(profile: dict[str, Any]) -> Place:
     return Place(
-        int(profile.get("position", 0)), max(1, int(profile.get("groupSize", 1))), int(profile.get("az", 0))
+        int(profile.get("position") or 0), int(profile.get("groupSize") or 1), int(profile.get("az") or 0)
     )
 
 
@@ -92,7 +92,7 @@
     report, names = profile.get("report") or {}, report_names(profile)
     told = {names[column] for column in report.get("columns") or [] if column in names}
     return Allowances(
-        most_dispatches=int(limits.get("maxAttempts", 1)),
+        most_dispatches=int(limits.get("maxAttempts") or 1),
         cancel=bool(limits.get("cancel")),
         copies=bool(limits.get("secondCopies")),
         probes=bool(limits.get("probes")),
