--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -21,9 +21,11 @@
 from vanerelay.net.ends import Cause, Stage
 from vanerelay.net.engines import Attempt, ConnectionSettings, Engines
 from vanerelay.net.peers import Peers
+from vanerelay.net.program import Program
 from vanerelay.net.resp import Query, command
 from vanerelay.net.service import Request, Service
 from vanerelay.net.sparing import Sparing
+from vanerelay.seam import Part
 
 
 class Wire(StringTransport):
@@ -705,6 +707,67 @@
     assert served.service.open == 1 and not served.wire.disconnecting
 
 
+class Faulty(Part):
+    """A subsystem that fails whatever it is told."""
+
+    def draining(self):
+        raise RuntimeError("no drain")
+
+    stop = again = draining
+
+
+class Loop(MemoryReactorClock):
+    def latest(self):
+        return 0.0
+
+
+@pytest.fixture
+def program():
+    """The program on a reactor that the test moves, with a subsystem that fails."""
+    row = {"id": "e", "host_port": "127.0.0.1:9", "phase": "SERVING"}
+    events = [{"n": 1, "members": {"revision": 1, "complete": True, "members": [row]}}]
+    told = {"limits": {}, "feed": "127.0.0.1:1", "settings": SERVICES, "known": {"n": 1, "events": events}}
+    reactor = Loop()
+    made = Program(reactor, Clock(reactor.seconds), told, "127.0.0.1:0", join=lambda host: [Faulty()])
+    yield made, told
+    gc.enable()
+    gc.unfreeze()
+
+
+def test_a_subsystem_that_fails_does_not_keep_the_program_from_ending_in_order(program):
+    made, _ = program
+    made.run()
+    (drain, *_), *_ = made.reactor.triggers["before"]["shutdown"]
+    ended = []
+    drain().addCallback(ended.append)
+    assert ended == [] and not made.service.ready()
+    made.reactor.pump([0.1] * 10)
+    assert ended == [None]
+
+
+def test_a_new_configuration_that_a_subsystem_fails_at_changes_nothing(program, tmp_path):
+    made, told = program
+    (tmp_path / "config.json").write_text(json.dumps({**told, "settings": {**SERVICES, "tickUs": 7000}}))
+    made.reload(str(tmp_path / "config.json"))
+    assert made.profile == SERVICES
+
+
+def test_a_sweep_that_fails_is_not_the_last(program, monkeypatch):
+    made, _ = program
+    swept = []
+
+    def sweep():
+        swept.append(1)
+        raise KeyError("gone")
+
+    monkeypatch.setattr(made.service, "sweep", sweep)
+    with pytest.raises(KeyError):
+        made.run()
+    with pytest.raises(KeyError):
+        made.reactor.advance(1.0)
+    assert len(swept) == 2
+
+
 @pytest.mark.parametrize(
     ("words", "code", "said"),
     [
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -387,5 +387,9 @@
             self._port = None
 
     def each(self, call: Callable[[ClientConnection], None]) -> None:
+        """Calls for every connection; a fault at one is logged and keeps none of the others."""
         for connection in list(self._all):
-            call(connection)
+            try:
+                call(connection)
+            except Exception:
+                log.exception("a client's connection met a fault")
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -10,7 +10,7 @@
 import signal
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import structlog
 from twisted.internet.defer import Deferred, DeferredList
@@ -30,6 +30,7 @@
 from vanerelay.seam import Answered, BadStart, Host, Listed, Part
 
 Join = Callable[[Host], list[Part]]
+Result = TypeVar("Result")
 
 # After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
 # counts what comes within 0.7 s.
@@ -39,6 +40,7 @@
 STOOD_STILL_S = 0.05  # as much as the page adds to each time limit on sockets
 CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
 PARENT_DEATH = 1  # of prctl: the signal that comes when the parent dies
+SWEEP_S = 1.0
 READY_AGAIN_S = 0.05  # between looks whether batches can be taken
 STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
 
@@ -67,6 +69,15 @@
     return told
 
 
+def _guarded(call: Callable[[], Result]) -> Result | None:
+    """What ends the program goes on, whatever a subsystem makes of it."""
+    try:
+        return call()
+    except Exception:
+        log.exception("a subsystem met a fault")
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class Kept:
     """What a keeper hands down: a socket that listens, and where to tell that batches are taken."""
@@ -228,13 +239,18 @@
             log.warning("configuration not read again", why=str(fault))
             return
         profile = told["settings"]
-        for part in self._parts:
-            profile = part.again(profile)
-        why = self._switch(profile)
+        try:
+            for part in self._parts:
+                profile = part.again(profile)
+        except Exception as fault:
+            log.warning("configuration not read again", why=f"{type(fault).__name__}: {fault}")
+            return
+        why = self.settle(profile)
         if why is not None:
             log.warning("settings stay until a restart", why=why)
 
     def _sweep(self) -> None:
+        self.reactor.callLater(SWEEP_S, self._sweep)  # first: a fault below must not be the last sweep
         self.service.sweep()
         late = self.reactor.latest()
         if late > STOOD_STILL_S:
@@ -247,7 +263,6 @@
             if short and self._parts:
                 gc.unfreeze()  # what a large list was frozen with may have become garbage
             gc.collect()
-        self.reactor.callLater(1.0, self._sweep)
 
     # What subsystems may ask of us: the seam's Host.
 
@@ -305,11 +320,11 @@
         """SIGTERM: what was taken is answered, and connections may come for as long as the page says."""
         log.info("draining", open=self.service.open)
         self.service.ending = True
-        for part in self._parts:
-            part.draining()
-        self.clients.each(lambda client: client.last())
         self.reactor.callLater(CONNECTIONS_S, self._no_connections)
         self.reactor.callLater(REQUESTS_S, self._no_requests)
+        self.clients.each(lambda client: client.last())
+        for part in self._parts:
+            _guarded(part.draining)
         return self._drained
 
     def _no_connections(self) -> None:
@@ -317,8 +332,8 @@
         self.clients.each(lambda client: client.last())
 
     def _no_requests(self) -> None:
+        self.reactor.callLater(0, self._await_answers)
         self.clients.each(lambda client: client.end_when_answered())
-        self._await_answers()
 
     def _await_answers(self) -> None:
         if self.clients.number:
@@ -326,7 +341,7 @@
             return
         self.roster.stop()
         # Those that stand on others end first.
-        ending = [part.stop() for part in reversed(self._parts)]
+        ending = [_guarded(part.stop) for part in reversed(self._parts)]
         self._engines.close()
         left = [one for one in ending if one is not None]
         if left:
