--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -19,11 +19,13 @@
 from vanerelay.net.clients import Clients
 from vanerelay.net.clock import Clock
 from vanerelay.net.ends import Cause, Stage
-from vanerelay.net.engines import Attempt, ConnectionSettings, Engines
+from vanerelay.net.connections import Attempt, ConnectionSettings
+from vanerelay.net.engines import Engines
 from vanerelay.net.peers import Peers
 from vanerelay.net.program import Program
+from vanerelay.net.queries import Request
 from vanerelay.net.resp import Query, command
-from vanerelay.net.service import Request, Service
+from vanerelay.net.service import Service
 from vanerelay.net.sparing import Sparing
 from vanerelay.seam import Part
 
@@ -645,7 +647,7 @@
         change(number, False, **{f"e{number - 1}": gone, "e999": gone})
         served.service.sweep()
     assert served.service._names.all() == {served.service._names.index("e59")}
-    assert len(served.engines._peers) == len(served.engines._lives) == len(served.engines._addresses) == 1
+    assert len(served.engines._processes) == len(served.engines._lives) == len(served.engines._addresses) == 1
     assert len(served.service._gateway._engines) == 1 and not served.service._gone
 
 
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -23,10 +23,12 @@
 from vanerelay.net.clients import Clients
 from vanerelay.net.clock import UNITS, Clock
 from vanerelay.net.ends import End
-from vanerelay.net.engines import ConnectionSettings, Engines
+from vanerelay.net.connections import ConnectionSettings
+from vanerelay.net.engines import Engines
 from vanerelay.net.peers import Peers
 from vanerelay.net.roster import Roster
-from vanerelay.net.service import Own, Service
+from vanerelay.net.queries import Own
+from vanerelay.net.service import Service
 from vanerelay.seam import Answered, BadStart, Host, Listed, Part
 
 Join = Callable[[Host], list[Part]]
--- /dev/null
+++ b/vanerelay/net/queries.py
@@ -0,0 +1,110 @@
+"""Queries that are held: who waits for each, what goes to engines, and which references were met."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred
+
+from vanerelay.holding import Held
+from vanerelay.interface import Arrival
+from vanerelay.net import frames
+from vanerelay.net.clients import ClientConnection
+from vanerelay.net.clock import UNITS
+from vanerelay.net.connections import Attempt, EngineConnection
+from vanerelay.net.requests import QueryRequest
+from vanerelay.seam import Guide
+
+if TYPE_CHECKING:
+    from vanerelay.net.service import Service
+
+
+class Request(Held):
+    """A batch on the sockets: who waits for it, and what goes to an engine."""
+
+    __slots__ = (
+        "arrival",
+        "attempts",
+        "body",
+        "client",
+        "grant",
+        "group",
+        "guide",
+        "idempotency_key",
+        "limit",
+        "priority",
+        "service",
+        "since",
+        "stream",
+        "used",
+    )
+
+    def __init__(
+        self,
+        service: Service,
+        client: ClientConnection | Inner,
+        stream: int,
+        asked: QueryRequest,
+        limit: int,
+        since: int,
+    ) -> None:
+        super().__init__(asked.reference)
+        self.since = since
+        self.service, self.client, self.stream = service, client, stream
+        self.group, self.limit, self.body = asked.service_class.encode(), limit, asked.body
+        self.idempotency_key = asked.idempotency_key
+        self.attempts: list[Attempt | None] = []
+        self.used: list[EngineConnection] = []
+        self.grant = self.priority = 0
+        self.arrival: Arrival | None = None
+        self.guide: Guide | None = None
+
+    def left(self) -> None:
+        self.service.left(self)
+
+    def among(self, engines: frozenset[int] | None) -> None:
+        self.service.led(self, engines)
+
+    def refuse(self, wait: int) -> None:
+        self.service.refused(self, wait)
+
+
+class References:
+    """References met lately. Clients bring a new one with each query: one that comes again is no new query,
+    and must not earn attempts for others."""
+
+    KEPT, MOST = 30 * UNITS, 20_000  # time and number after which the older half is forgotten
+
+    def __init__(self, now: int) -> None:
+        self._newer, self._older, self._since = set[int](), set[int](), now
+
+    def again(self, reference: str, now: int) -> bool:
+        """Whether it was met already; it is from now on."""
+        if now - self._since > self.KEPT or len(self._newer) >= self.MOST:
+            self._newer, self._older, self._since = set(), self._newer, now
+        number = int(reference, 16)
+        met = number in self._newer or number in self._older
+        self._newer.add(number)
+        return met
+
+
+class Inner:
+    """Who waits for a batch of ours: in the place of a client's connection."""
+
+    def __init__(self) -> None:
+        self.done, self.open = Deferred[int](), dict[int, Request]()
+
+    def answer(self, stream: int, code: int, fields: dict[str, str], body: bytes) -> None:
+        self.done.callback(code)
+
+
+class Own:
+    """A batch of ours, as subsystems hold it."""
+
+    def __init__(self, held: Request, done: Deferred[int]) -> None:
+        self._held, self.done = held, done
+
+    def withdraw(self) -> None:
+        self._held.left()
+        if not self.done.called:
+            self.done.callback(frames.PUSHED_BACK)
