--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -599,6 +599,27 @@
     assert wire.disconnecting == ended and (client in served.clients._all) != ended
 
 
+def test_a_connection_whose_client_neither_takes_nor_ends_anything_is_aborted():
+    """It stayed for good: with a little left to send the transport never came to its close."""
+    served = Served()
+    served.client.refuse("a test")
+    assert served.wire.disconnecting and not served.wire.aborted and served.clients.number == 1
+    served.advance(1.05)
+    assert not served.wire.aborted
+    served.advance(0.1)
+    assert served.wire.aborted
+
+
+def test_ended_connections_have_what_the_others_leave_of_the_share():
+    served = Served()  # three at most
+    ended = [served.client, served.join()[0], served.join()[0]]
+    for client in ended:
+        client.refuse("a test")
+    assert served.clients.number == 3
+    kept = [served.join()[0] for _ in range(3)]
+    assert served.clients.number == 3 and not any(client.ended for client in kept)
+
+
 def test_one_that_was_of_use_is_kept_before_those_that_never_sent_anything():
     served = Served()
     served.client.dataReceived(frames.frame(frames.READY, 0, b"\0"))
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -25,6 +25,7 @@
 IDLE_S = 4.0  # clients close connections idle for this long; one that takes nothing for as long is given up
 KEPT_S = 2 * IDLE_S  # who keeps one longer without a request has forgotten it
 LINGER_S = 1.0  # what a client sends after our end is read and dropped for so long, until its own end comes
+FLUSH_S = 0.1  # for what has not left when a connection is closed
 CLOGGED_BYTES = 262_144  # of answers that a client does not take, past which its further queries are rejected
 # A client that sends nothing whole is owed an end within 3 s of connecting; each has its turn at a sweep.
 WHOLE_S, SWEEP_S = 2.0, 0.25
@@ -202,11 +203,13 @@
         self._clients.lingers(self)
 
     def close(self) -> None:
-        """Closes at once."""
+        """Closes as soon as all has left, and shortly after in any case: nobody takes the rest."""
+        if self._lingers is not None and self._lingers.active():
+            self._lingers.cancel()
         if not self._lost:
             self.transport.loseConnection()
-        if not self._lost:  # something has not left: nobody takes it
-            self.transport.abortConnection()
+        if not self._lost:
+            self._lingers = self._clients.reactor.callLater(FLUSH_S, self.transport.abortConnection)
 
     def look(self) -> None:
         """Reads what waits in its socket, before this connection is taken for one that rests."""
