--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,10 +30,4 @@
     node.engine = engine
     yield node
     for one in made:
-        if isinstance(one, Node):
-            one.process.kill()
-            one.process.wait()
-            one.feed.server.shutdown()
-            one.feed.server.server_close()
-        else:
-            one.close()
+        one.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -477,6 +477,12 @@
     def client(self) -> Client:
         return Client(self.address)
 
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        self.feed.server.shutdown()
+        self.feed.server.server_close()
+
 
 def stand_still(node: Node, meanwhile: Callable[[], Any], span: float) -> None:
     """The process stands still while something happens, and for at least so many seconds."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.helpers import SERVICES, Feed, member, ref, reset, stand_still, until
+from tests.helpers import SERVICES, Engine, Feed, Node, member, ref, reset, stand_still, until
 
 CONNECT = {"dialTimeoutUs": 20_000_000}  # longer than a test takes: the connect is let through before
 LEAVE, READY = 8, 16
@@ -316,3 +316,58 @@
     client = node.client()
     client.ask(1, "a1")
     assert client.answer()[:2] == (1, 0) and two.served() == ["a1"]
+
+
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down(started):
+    feed, one, two = Feed(), started.engine(returns), started.engine(returns)
+    down = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    feed.spoil.extend([down] * 100_000)
+    node = started(member(one, "s-1"), feed=feed, sockets=48)
+    idle = [node.client() for _ in range(60)]
+    until(lambda: "feed fails" in node.log.read_text(), "the failure")
+    feed.spoil.clear()
+    feed.heard(feed.tell(member(one, "s-1", "DELETED"), member(two, "s-2")))
+    client = node.client()
+    client.ask(1, "a1")
+    assert client.answer()[:2] == (1, 0) and two.served() == ["a1"]
+    assert len(idle) == 60 and node.process.poll() is None
+
+
+def flood(node, name):
+    """Many queries at once over eight connections; returns once all are answered."""
+    clients = [node.client() for _ in range(8)]
+    for number, client in enumerate(clients):
+        for stream in range(1, 29):
+            client.ask(stream, f"{name}{number}{stream:02}", effort="1200")
+    for client in clients:
+        for _ in range(28):
+            client.answer()
+
+
+def test_processes_that_are_killed_and_started_again_keep_within_a_cold_engine_s_budget(tmp_path, request):
+    """Each had its whole part again, as nobody told it what it had sent before."""
+
+    def completes(engine, connection, ident):
+        engine.say(connection, ident, "OK", "total=1,elapsed=1200,rss=40", b"a\tb\tc\n")
+
+    engine = Engine(completes)
+    request.addfinalizer(engine.close)
+    cold = {"coldFrom": 0.3, "coldUs": 600_000_000, "fallMultiple": 2, "overloadForUs": 120_000_000}
+    nodes = []
+    for position in range(5):
+        folder = tmp_path / f"n{position}"
+        folder.mkdir()
+        settings = {"safety": cold, "groupSize": 5, "position": position}
+        started = member(engine, started=int(time.time() * 1000))
+        nodes.append(Node(folder, Feed(), started, settings=settings))
+        request.addfinalizer(nodes[-1].close)
+    for life in "ab":
+        for position, node in enumerate(nodes):
+            flood(node, f"{life}{position}")
+        for node in nodes:
+            node.process.kill()
+            node.process.wait()
+        for node in nodes:
+            node.start()
+    allowed = 2 * 0.3 * 16 * 120 / 1.2  # in the window of two minutes
+    assert 300 < len(engine.served()) <= allowed + 2 * allowed**0.5 + 2
