A subsystem that fails at a query or a list costs others nothing; extensions and deadlines apart

Read: a subsystem that failed at a change of the list took all later changes of the same answer along, as their numbers counted as held, so that a drain among them was never heard; one that failed while it led a query left the attempt's memory held for good. Both tests fail on the state before.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -4,6 +4,7 @@
 
 import gc
 import json
+import random
 
 import pytest
 from click.testing import CliRunner
@@ -25,9 +26,10 @@
 from vanerelay.net.program import Program
 from vanerelay.net.queries import Request
 from vanerelay.net.resp import Query, command
+from vanerelay.net.roster import Roster
 from vanerelay.net.service import Service
 from vanerelay.net.sparing import Sparing
-from vanerelay.seam import Part
+from vanerelay.seam import Guide, Part
 
 
 class Wire(StringTransport):
@@ -450,7 +452,7 @@
     for stream in range(1, 1001):
         served.ask(stream)
         served.client.dataReceived(frames.frame(frames.LEAVE, stream))
-    assert served.service.open == 0 and len(served.service._guards) <= 103
+    assert served.service.open == 0 and len(served.service.deadlines) <= 103
 
 
 def test_batches_leave_no_cycles_to_collect():
@@ -739,6 +741,59 @@
     stop = again = draining
 
 
+class Failing(Part):
+    """A subsystem that fails at all that happens to queries and to the list."""
+
+    def listed(self, change):
+        raise RuntimeError("no list")
+
+    answered = ran = listed
+
+    def guide(self, want):
+        return FailingGuide() if want.group == "load" else self.listed(want)
+
+
+class FailingGuide(Guide):
+    def sent(self, engine):
+        raise RuntimeError("no lead")
+
+    def over(self):
+        raise RuntimeError("no end")
+
+
+def test_a_subsystem_that_fails_at_queries_costs_no_query_that_it_does_not_lead():
+    served = Served()
+    served.service.join([Failing()])
+    member = feed.Member("e", "127.0.0.1:9", feed.EngineState.UP, 0, 0, 0, 1.0, 0)
+    served.service.listed(feed.Change(1, True, [member]))
+    served.ask(1)
+    assert served.answers() == [(1, frames.ERRORED)]  # whether it may be served, nobody could say
+    served.ask(2, service="load")
+    protocol, wire = served.reactor.tcpClients[0][2].buildProtocol(None), Wire()
+    protocol.makeConnection(wire)
+    protocol.dataReceived(command(b"%016x" % 2, b"OK", b"total=1", b"a\tb\tc\n"))
+    assert served.answers()[1:] == [(2, frames.RETURNED)] and served.service.open == 0
+    assert not served.service.gateway.out
+
+
+def test_a_change_of_the_list_that_fails_does_not_take_the_next_along():
+    """Its number counts as held: what came with it was never told again."""
+    seen = []
+
+    def changed(change):
+        seen.append(change.number)
+        if change.number == 1:
+            raise KeyError("e")
+
+    reactor = MemoryReactorClock()
+    roster = Roster(reactor, Pool(), "127.0.0.1:1", {}, {}, 0.25, random.Random(1), changed)
+    row = {"id": "e", "host_port": "127.0.0.1:9", "phase": "SERVING"}
+    events = [{"n": n, "members": {"complete": n == 1, "members": [row]}} for n in (1, 2, 3)]
+    with pytest.raises(KeyError):
+        roster.apply({"n": 3, "events": events})
+    assert seen == [1, 2, 3]
+
+
 class Loop(MemoryReactorClock):
     def latest(self):
         return 0.0
--- /dev/null
+++ b/vanerelay/net/extensions.py
@@ -0,0 +1,87 @@
+"""The subsystems that joined the served program, told of what they want; a fault in one stays its own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import structlog
+
+from vanerelay.seam import Guide, Part, Ran, Want, tells
+
+if TYPE_CHECKING:
+    from vanerelay.net.feed import Change
+
+FAULT = "a subsystem met a fault"  # what a client is told whose query none could lead for that
+Result = TypeVar("Result")
+
+log = structlog.get_logger()
+
+
+def guarded(call: Callable[..., Result], *values: Any) -> Result | None:
+    """Calls a subsystem; None where it fails, which is logged."""
+    try:
+        return call(*values)
+    except Exception:
+        log.exception(FAULT)
+        return None
+
+
+class Extensions:
+    """All that joined, by what each wants to be told, so that nothing is worked out for nobody."""
+
+    def __init__(self) -> None:
+        self._watchers = list[Part]()
+        self._guides = list[Part]()
+        self._tallies = list[Part]()
+        self._learners = list[Part]()
+
+    def join(self, parts: Iterable[Part]) -> None:
+        for part in parts:
+            for name, wanting in (
+                ("listed", self._watchers),
+                ("guide", self._guides),
+                ("answered", self._tallies),
+                ("ran", self._learners),
+            ):
+                if tells(part, name):
+                    wanting.append(part)
+
+    @property
+    def guides(self) -> bool:
+        """Whether queries may be led by somebody."""
+        return bool(self._guides)
+
+    @property
+    def counts(self) -> bool:
+        """Whether somebody wants to know what became of queries."""
+        return bool(self._tallies)
+
+    @property
+    def learns(self) -> bool:
+        """Whether somebody wants to know what engines ran."""
+        return bool(self._learners)
+
+    def listed(self, change: Change) -> None:
+        for part in self._watchers:
+            guarded(part.listed, change)
+
+    def guide(self, want: Want) -> Guide | str | None:
+        """Who leads a query; words for its client where it can't be served as it asks."""
+        for part in self._guides:
+            try:
+                found = part.guide(want)
+            except Exception:
+                log.exception(FAULT)
+                return FAULT
+            if found is not None:
+                return found
+        return None
+
+    def answered(self, service_class: str, earned: float, code: int, passed: int, attempts: int) -> None:
+        for part in self._tallies:
+            guarded(part.answered, service_class, earned, code, passed, attempts)
+
+    def ran(self, ran: Ran) -> None:
+        for part in self._learners:
+            guarded(part.ran, ran)
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -10,7 +10,7 @@
 import signal
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any
 
 import structlog
 from twisted.internet.defer import Deferred, DeferredList
@@ -25,6 +25,7 @@
 from vanerelay.net.ends import End
 from vanerelay.net.connections import ConnectionSettings
 from vanerelay.net.engines import Engines
+from vanerelay.net.extensions import guarded
 from vanerelay.net.peers import Peers
 from vanerelay.net.roster import Roster
 from vanerelay.net.queries import Own
@@ -32,7 +33,6 @@
 from vanerelay.seam import Answered, BadStart, Host, Listed, Part
 
 Join = Callable[[Host], list[Part]]
-Result = TypeVar("Result")
 
 # After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; the page
 # counts what comes within 0.7 s.
@@ -71,15 +71,6 @@
     return told
 
 
-def _guarded(call: Callable[[], Result]) -> Result | None:
-    """What ends the program goes on, whatever a subsystem makes of it."""
-    try:
-        return call()
-    except Exception:
-        log.exception("a subsystem met a fault")
-        return None
-
-
 @dataclass(frozen=True, slots=True)
 class Kept:
     """What a keeper hands down: a socket that listens, and where to tell that batches are taken."""
@@ -326,7 +317,7 @@
         self.reactor.callLater(REQUESTS_S, self._no_requests)
         self.clients.each(lambda client: client.last())
         for part in self._parts:
-            _guarded(part.draining)
+            guarded(part.draining)
         return self._drained
 
     def _no_connections(self) -> None:
@@ -343,7 +334,7 @@
             return
         self.roster.stop()
         # Those that stand on others end first.
-        ending = [_guarded(part.stop) for part in reversed(self._parts)]
+        ending = [guarded(part.stop) for part in reversed(self._parts)]
         self._engines.close()
         left = [one for one in ending if one is not None]
         if left:
--- a/vanerelay/net/roster.py
+++ b/vanerelay/net/roster.py
@@ -127,8 +127,14 @@
         if isinstance(changes, feed.Unreadable):
             return changes.why
         new, gap = self._numbering.fresh(changes)
+        faults = list[Exception]()
         for change in new:
-            self._changed(change)
+            try:
+                self._changed(change)
+            except Exception as fault:  # the next ones count all the same: they won't come again
+                faults.append(fault)
+        if faults:
+            raise faults[0]
         return "events are missing" if gap else None
 
     def follow(self) -> None:
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -19,18 +18,19 @@
 from vanerelay.net.clock import UNITS, Clock
 from vanerelay.net.ends import Cause, End, Stage
 from vanerelay.net.connections import Attempt
+from vanerelay.net.deadlines import Deadlines
 from vanerelay.net.engines import DROPPED, Engines
+from vanerelay.net.extensions import Extensions, guarded
 from vanerelay.net.peers import Peers
 from vanerelay.net.resp import Note, Query
 from vanerelay.net.queries import Inner, Own, References, Request
 from vanerelay.net.requests import QueryRequest
 from vanerelay.net.statements import table_group, writes
-from vanerelay.seam import Guide, Part, Ran, Want, tells
+from vanerelay.seam import Guide, Part, Ran, Want
 
 log = structlog.get_logger()
 
 ALLOW_MOST = 2  # times its service group's time limit: the longest that a client can mean to wait
-SPARE_GUARDS = 100  # of batches answered, that are let lie before they are swept out
 LOADS = ("inflight", "queue", "util", "latency_ms", "qps", "eps")  # the page's words for reported values
 REPORTED = dict(
     zip(LOADS, ("busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"), strict=True)
@@ -58,13 +58,9 @@
         self._holding: Holding[Request] = Holding()
         self._gateway: Gateway | None = None
         self._ending = list[Gateway]()  # of settings before, that have not ended all they took
-        self._guards: list[tuple[int, int, Request]] = []  # time limits of the open batches, the first first
-        self._serial = itertools.count()
-        self._guard_at: int | None = None
-        self._guard_timer: Any = None
+        self.deadlines = Deadlines(reactor, clock, self._expired)
         self._listed = self.ending = False
-        self._watchers, self._tallies, self._leads = list[Part](), list[Part](), list[Part]()
-        self._learners = list[Part]()
+        self._extensions = Extensions()
         self.open, self._room = 0, room
         self.now = clock.now()
 
@@ -104,10 +100,7 @@
 
     def join(self, parts: Iterable[Part]) -> None:
         """Subsystems, told from now on of what they want to be told."""
-        self._watchers += [part for part in parts if tells(part, "listed")]
-        self._tallies += [part for part in parts if tells(part, "answered")]
-        self._leads += [part for part in parts if tells(part, "guide")]
-        self._learners += [part for part in parts if tells(part, "ran")]
+        self._extensions.join(parts)
 
     # What clients bring.
 
@@ -174,17 +167,17 @@
 
     def _guide(self, asked: QueryRequest, goal: int, limit: int) -> Guide | str | None:
         """Who leads the query; words for its client where it can't be served as it asks."""
-        if not self._leads:
+        if not self._extensions.guides:
             return None
         want = Want(asked.reference, asked.service_class, asked.statement, goal, limit - self.now)
-        return next((led for part in self._leads if (led := part.guide(want)) is not None), None)
+        return self._extensions.guide(want)
 
     def _hold(self, held: Request) -> None:
         self._holding.open(held)
         self.open += 1
         self._refs.add(held.name)
         self._room -= len(held.body)
-        heapq.heappush(self._guards, (held.limit, next(self._serial), held))
+        self.deadlines.add(held)
 
     def own(
         self, name: str, group: str, statement: str, engine: int, memory: float, lasts: int
@@ -250,8 +243,7 @@
     def left(self, held: Request) -> None:
         """Its client no longer waits; what is out still ends."""
         if not held.ended:
-            if self._tallies:
-                self._count(held, frames.RETURNED, False)
+            self._count(held, frames.RETURNED, False)
             self._finish(held)
             if held.batch is not None:
                 self._call(held, held.batch.left)
@@ -259,33 +251,15 @@
         self._settle(held)
 
     def _guard(self) -> None:
-        """The last guard of rule 1: whatever the module made of it, a batch is answered at its time limit.
+        self.deadlines.look(self.open)
 
-        Looked at after every event, not once a pass: seen on sockets, answers given too late by passes of 50
-        to 70 ms, while the timers that had fallen due waited for the pass to end.
-        """
-        now = self._clock.now()
-        while self._guards and (self._guards[0][2].ended or self._guards[0][0] <= now):
-            held = heapq.heappop(self._guards)[2]
-            if not held.ended:
-                self._answer(held, frames.ERRORED, {}, b"")
-                if held.batch is not None:
-                    self._call(held, held.batch.left)
-                self._withdraw(held)
-                self._settle(held)
-        if len(self._guards) > 2 * self.open + SPARE_GUARDS:
-            self._guards = [guard for guard in self._guards if not guard[2].ended]
-            heapq.heapify(self._guards)
-        first = self._guards[0][0] if self._guards else None
-        if first is not None and (self._guard_at is None or first < self._guard_at):
-            if self._guard_timer is not None and self._guard_timer.active():
-                self._guard_timer.cancel()
-            self._guard_at = first
-            self._guard_timer = self._reactor.callLater(max(1, first - now) / UNITS, self._guard_due)
-
-    def _guard_due(self) -> None:
-        self._guard_at = None
-        self._guard()
+    def _expired(self, held: Request) -> None:
+        """Its deadline has come, whatever the module made of it."""
+        self._answer(held, frames.ERRORED, {}, b"")
+        if held.batch is not None:
+            self._call(held, held.batch.left)
+        self._withdraw(held)
+        self._settle(held)
 
     # What the list brings.
 
@@ -308,8 +282,7 @@
         for gateway in (self._gateway, *self._ending):
             if gateway is not None:
                 self._call(None, gateway.listed, entries, change.whole)
-        for part in self._watchers:
-            part.listed(change)
+        self._extensions.listed(change)
 
     def sweep(self) -> None:
         """Lets go of connections that the engines are about to close, and of engines that are gone."""
@@ -331,9 +304,9 @@
                 fields = self._accepted(held.guide, engine, end.told)
                 outcome = Outcome.RETURNED if fields is not None else Outcome.SPOILT
             else:
-                self._call(held, held.guide.missed, engine, outcome)
+                guarded(held.guide.missed, engine, outcome)
         if outcome is Outcome.RETURNED and not held.ended:
-            if self._learners:
+            if self._extensions.learns:
                 self._learn(held, engine, end)
             self._answer(held, frames.RETURNED, fields or {}, end.rows)
         if held.batch is not None:
@@ -353,8 +326,7 @@
             round(_told(end.told, "elapsed") * 10),
             isinstance(held.client, Inner),
         )
-        for part in self._learners:
-            self._call(None, part.ran, ran)
+        self._extensions.ran(ran)
 
     def _accepted(self, guide: Guide, engine: int, told: dict[str, str]) -> dict[str, str] | None:
         """What goes with an answer; None where who leads the batch does not take it for one."""
@@ -392,27 +364,23 @@
         self._room += len(held.body)
         held.body = b""  # no dispatch follows
         if held.guide is not None:
-            held.guide.over()
+            guarded(held.guide.over)
 
     def _count(self, held: Request, code: int, heard: bool = True) -> None:
         """Tells what became of a batch; `heard`: whether its client still waited."""
-        if isinstance(held.client, Inner):
+        if not self._extensions.counts or isinstance(held.client, Inner):
             return
         goal, late = self._worth.get(held.group, (0, 0.0))
         passed = self._clock.now() - held.since
         earned = 0.0 if code != frames.RETURNED or not heard else 1.0 if passed <= goal else late
-        for part in self._tallies:
-            part.answered(held.group.decode(), earned, code, passed, len(held.attempts))
+        self._extensions.answered(held.group.decode(), earned, code, passed, len(held.attempts))
 
     def _count_unheld(self, told: dict[str, str], code: int) -> None:
         """The same of one that was answered on the spot."""
-        if self._tallies:
-            for part in self._tallies:
-                part.answered(told.get("service", ""), 0.0, code, 0, 0)
+        self._extensions.answered(told.get("service", ""), 0.0, code, 0, 0)
 
     def _answer(self, held: Request, code: int, fields: dict[str, str], body: bytes) -> None:
-        if self._tallies:
-            self._count(held, code)
+        self._count(held, code)
         self._finish(held)
         held.client.answer(held.stream, code, fields, body)
 
@@ -451,7 +419,7 @@
 
     def _begin(self, held: Request, attempt: Attempt, engine: int, wait: int) -> None:
         if held.guide is not None:
-            held.guide.sent(engine)
+            guarded(held.guide.sent, engine)
         self._engines.send(engine, attempt, wait / UNITS)
 
     def _begin_late(self, held: Request, attempt: Attempt, engine: int, until: int) -> None:
