A slow client with much left to take has four seconds after our end, as with any answer

Found on a second reading: ended with over a transport's buffer unsent, its connection was aborted after 1.1 s, and the answers in it would have been cut.

--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -199,7 +199,8 @@
         self._reader.drop()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._lingers = self._clients.reactor.callLater(LINGER_S, self.close)
+        span_s = IDLE_S if self._clogged else LINGER_S  # a slow client is owed what was answered
+        self._lingers = self._clients.reactor.callLater(span_s, self.close)
         self._clients.lingers(self)
 
     def close(self) -> None:
