--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,6 +41,8 @@
     Shortage,
 )
 
+from tests.faults import Faults
+
 ROOT = Path(__file__).resolve().parent.parent
 
 GROUP = ServiceGroup(
@@ -438,9 +440,12 @@
         limits: dict[str, Any] | None = None,
         options: str | None = None,
         settings: dict[str, Any] | None = None,
+        faults: Faults | None = None,
         **limits_told: Any,
     ) -> None:
-        """`options`: the operators' file, as HCL; `settings`: in place of those of SERVICES."""
+        """`options`: the operators' file, as HCL; `settings`: in place of those of SERVICES; `faults`: what
+        befalls the process from within."""
+        self.faults = faults
         self.listen = free_address()
         host, _, port = self.listen.rpartition(":")
         self.address, self.feed = (host, int(port)), feed
@@ -463,7 +468,9 @@
         self.start()
 
     def start(self) -> None:
-        self.process = start(self.config, self.log, *self.words, LB_NAME="n0", LB_LISTEN=self.listen)
+        environment = {"LB_NAME": "n0", "LB_LISTEN": self.listen}
+        environment |= self.faults.environment if self.faults is not None else {}
+        self.process = start(self.config, self.log, *self.words, **environment)
         until(self._ready, "readiness")
 
     def _ready(self) -> bool:
