Spans are measured on the monotonic clock; a stepped wall clock breaks no rule

Cause: the reactor's timers (Twisted's default, time.time) and Clock.now (net/clock.py, the wall clock, never backwards) both stood on the wall clock. A step back held every pending timer, among them the beat of the decision module, deadlines and the time-out of a silent watch, and froze windows and waits; a step forward ended all that was out, emptied the window of further attempts and aged cold engines. Moments told by others as calendar time (up_since_ms) were compared with it too.

Ruled out: new configurations in a row (two processes moved as often had nothing to tell), a standstill (no such line in the logs), the length of the watch's time-out alone (it never fired after the step).

Change: Clock and the reactor read the monotonic clock; Clock.moment turns a moment of the calendar into the module's time, once for each start (net/starts.py), never older than the listing allows; a controller that reads its record back waits anew, as its moments are of another process.

--- a/tests/faults.py
+++ b/tests/faults.py
@@ -14,7 +14,7 @@
 
 
 class Faults:
-    """The faults of one process. `wall` is in seconds past the true time, the others are chances of a call."""
+    """The faults of one process. `wall`: seconds past the true time; the others: chances of one call."""
 
     def __init__(self, path: Path, **values: float) -> None:
         self._path, self._values = path, dict.fromkeys(FIELDS, 0.0) | values
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -516,7 +516,32 @@
     assert table_group(f"SELECT *{before} FROM a_1.t WHERE x IN ({after}1)") == group
 
 
-def test_the_clock_never_goes_back():
-    told = iter([5.0, 4.0, 5.00012])
-    clock = Clock(lambda: next(told))
-    assert [clock.now(), clock.now(), clock.now()] == [50_000, 50_000, 50_001]
+@pytest.mark.parametrize("wall", [5.0, 5.5, 3605.0, -3595.0])
+def test_the_clock_never_goes_back_nor_by_the_wall_clock(wall):
+    """Replaces the test that it never goes back: it also stood still while the wall clock was behind."""
+    told, walls = iter([5.0, 5.0, 4.0, 5.00012, 65.0]), iter([5.0])
+    clock = Clock(lambda: next(told), lambda: next(walls, wall))
+    assert [clock.now() for _ in range(4)] == [50_000, 50_000, 50_001, 650_000]
+
+
+@pytest.mark.parametrize(
+    ("at_start", "now", "began", "moment"),
+    [
+        (0.0, 0.0, -30.0, -30.0),  # seconds that the wall clock is wrong by; the true start; as taken
+        (0.0, 3600.0, -30.0, -30.0),
+        (0.0, -3600.0, -30.0, -30.0),
+        (3600.0, 0.0, -30.0, -30.0),
+        (-3600.0, 0.0, -30.0, -30.0),
+        (0.0, 3600.0, -7200.0, -7200.0),
+        (0.0, -3600.0, -7200.0, -3600.0),  # which of the two is right can't be told: the later one
+        (0.0, 5.0, -30.0, -30.0),
+        (0.0, -5.0, -30.0, -25.0),
+        (-3600.0, -3600.0, -30.0, 0.0),  # in the future: now
+        (0.0, 3600.0, 0.5, 0.0),  # another machine's clock is a little ahead
+    ],
+)
+def test_a_moment_of_the_calendar_is_never_taken_for_older_than_it_is(at_start, now, began, moment):
+    time, wrong = 1000.0, [at_start, now]
+    clock = Clock(lambda: 7.0, lambda: time + wrong.pop(0))
+    found = clock.moment(int((time + began) * 10_000)) - clock.now()
+    assert found == int(moment * 10_000)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -571,3 +571,17 @@
         return
     with pytest.raises(plan.BadOptions, match="line [0-9]+.*" + says):
         plan.load(str(tmp_path / "p.hcl"))
+
+
+@pytest.mark.parametrize("span", [-3600 * SECOND, 3600 * SECOND])
+def test_a_controller_that_reads_its_record_back_waits_anew(span):
+    """The moments on record are of another process's clock, which may have been stepped since."""
+    course = Course(PLAN)
+    name = next(iter(course.domains))
+    course.apply(Event("stage", 1000 * SECOND, stage=0))
+    course.apply(Event("ordered", 1000 * SECOND, manager=name, to=NEW, fence=1, number=1))
+    now = 1001 * SECOND + span
+    course.resume(now)
+    there = heard(course, down=(name,))
+    assert course.next(now, there).do is not Do.UNCLEAR
+    assert course.next(now + PLAN.away_for + 1, there).do is Do.UNCLEAR
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -64,3 +64,97 @@
     until(engine.served, "the attempt")
     faults.step(-HOUR)
     assert client.answer()[:2] == (1, 2) and time.monotonic() - began < LONG / 2
+
+
+@pytest.mark.parametrize("span", STEPS)
+def test_a_query_that_runs_is_not_ended_by_a_step(started, faults, span):
+    """Rule 1, and what an engine has done is not lost: a step forward ended all that was out."""
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    node = started(member(engine), faults=faults)
+    client, other = joined(node), joined(node)
+    client.ask(1, "a1", "load")
+    until(lambda: held, "the attempt")
+    faults.step(span)
+    settle(other)
+    engine.returns(*held[0])
+    assert client.answer()[:2] == (1, 0) and engine.served() == ["a1"]
+
+
+def test_the_window_for_repeats_runs_on_though_the_clock_is_stepped_back(started, faults):
+    """Rule 2: the clock stood still for the time that it was stepped back, and the window with it."""
+    first, second = started.engine(silent), started.engine(returns)
+    settings = classes(semantics="token", dedupScope="all", windowUs=600_000)
+    node = started(member(first, "s-1"), settings=settings, faults=faults)
+    client = joined(node)
+    client.ask(1, "a1")
+    until(first.served, "the attempt")
+    faults.step(-HOUR)
+    over = time.monotonic() + 0.7
+    until(lambda: time.monotonic() > over, "the end of the window")
+    node.feed.heard(node.feed.tell(member(first, "s-1", "DRAINING"), member(second, "s-2")))
+    reset(first.connections[0])
+    assert client.answer()[:2] == (1, 1) and second.served() == []
+
+
+@pytest.mark.parametrize("span", STEPS)
+def test_a_process_told_to_end_ends_though_its_clock_is_stepped(started, faults, span):
+    node = started(member(started.engine(returns)), faults=faults)
+    client = joined(node)
+    node.process.send_signal(signal.SIGTERM)
+    assert client.read() == (64, 0, b"")
+    faults.step(span)
+    assert node.process.wait(LONG / 2) == 0
+
+
+@pytest.mark.parametrize("span", STEPS)
+@pytest.mark.parametrize("early", [True, False])
+def test_a_cold_engine_is_cold_whatever_the_wall_clock_says(started, faults, span, early):
+    """Rule 4: its start is told as a moment of the calendar. `early`: stepped before the process starts."""
+
+    def completes(engine, connection, ident):
+        engine.say(connection, ident, "OK", "total=1,elapsed=1200,rss=40", b"a\tb\tc\n")
+
+    cold = {"coldFrom": 0.3, "coldUs": 600_000_000, "fallMultiple": 2, "overloadForUs": 20_000_000}
+    former, fresh = started.engine(completes), started.engine(completes)
+    if early:
+        faults.step(span)
+    node = started(member(former, "s-1"), settings={"safety": cold}, faults=faults)
+    if not early:
+        faults.step(span)
+    joined(node)
+    row = member(fresh, "s-2", started=int(time.time() * 1000))
+    node.feed.heard(node.feed.tell(member(former, "s-1", "DELETED"), row))
+    flood(node, "a")
+    allowed = 2 * 0.3 * 16 * 20 / 1.2
+    assert 0 < len(fresh.served()) <= allowed + 2 * allowed**0.5 + 2
+
+
+@pytest.mark.parametrize("span", STEPS)
+def test_an_engine_told_again_after_a_step_is_the_same_process(started, faults, span):
+    """Else all that is out on it is lost, and it counts as cold again."""
+    held = []
+    engine = started.engine(lambda e, c, i: held.append((c, i)))
+    row = member(engine, started=int(time.time() * 1000))
+    node = started(row, faults=faults)
+    client = joined(node)
+    client.ask(1, "a1", "load")
+    until(lambda: held, "the attempt")
+    faults.step(span)
+    node.feed.heard(node.feed.tell(row))
+    engine.returns(*held[0])
+    assert client.answer()[:2] == (1, 0) and engine.served() == ["a1"]
+
+
+@pytest.mark.parametrize("span", STEPS)
+def test_resting_connections_are_let_go_of_by_real_time(started, faults, span):
+    """A step forward ended each as long idle; after one back none was, and engines closed them first."""
+    engine = started.engine(returns)
+    node = started(member(engine), faults=faults, limits={"connIdleUs": 1_600_000})
+    client = joined(node)
+    client.ask(1, "a1")
+    assert client.answer()[:2] == (1, 0)
+    faults.step(span)
+    client.ask(2, "a2")
+    assert client.answer()[:2] == (2, 0) and len(engine.connections) == 1
+    until(lambda: engine.connections[0].fileno() < 0, "the end of the resting connection")
--- a/vanerelay/net/clock.py
+++ b/vanerelay/net/clock.py
@@ -13,23 +13,41 @@
 # A client that has gone may not see an attempt begin over 0.1 s later: what is older than this is looked at
 # once more before an attempt begins.
 FRESH = UNITS // 20
+APART = 2 * UNITS  # so far the clocks of two machines may be apart that are both taken for right
 LOOKS = 2  # after so many looks an attempt begins, however long the passes take
 
 
 class Clock:
-    """The system's Unix clock in the module's unit, never backwards, and until when the loop has seen all."""
+    """The machine's monotonic clock in the module's unit, and until when the loop has seen all.
 
-    def __init__(self, read: Callable[[], float] = time.time) -> None:
-        self._read, self._last = read, 0
+    Its zero is that of the Unix clock as it stood when this was made, so that moments can be told to people.
+    Spans are real time, whatever becomes of the wall clock, which operators and time servers may step.
+    """
+
+    def __init__(
+        self, read: Callable[[], float] = time.monotonic, read_wall: Callable[[], float] = time.time
+    ) -> None:
+        self._read, self._read_wall, self._last = read, read_wall, 0
+        self._origin = read_wall() - read()
         self.looked = 0  # the last moment at which what has now come was not there yet
         self.passes = 0  # of the event loop
         self._seen_until: int | None = None  # all that had come by then has been handled; None: no loop runs
         self._waiting: list[tuple[Callable[[], None], int]] = []  # and the looks that each may still wait for
 
     def now(self) -> int:
-        self._last = max(self._last, int(self._read() * UNITS))
+        self._last = max(self._last, int((self._origin + self._read()) * UNITS))
         return self._last
 
+    def moment(self, unix: int) -> int:
+        """When a moment of the calendar, in the module's unit, was; never later than now.
+
+        The wall clock may have been wrong at the start or may be wrong now. Of both readings the later one
+        counts that is not in the future: what has just begun must not be taken for old.
+        """
+        now = self.now()
+        stepped = int(self._read_wall() * UNITS) - now
+        return max((min(at, now) for at in (unix, unix - stepped) if at <= now + APART), default=now)
+
     @property
     def fresh(self) -> bool:
         """Whether all has been handled that had come shortly before: not so where the process stood still, or
@@ -71,6 +89,8 @@
     time ran out while the process stood still reports nothing, whatever has come meanwhile."""
 
     LATE = 0.010  # seconds, twice the shortest tick that is told
+    # Twisted's own default is the wall clock: after a step back no timer that was pending would come.
+    seconds = staticmethod(time.monotonic)
 
     def __init__(self, clock: Clock) -> None:
         self._clock, self._started_at = clock, clock.now()
--- a/vanerelay/net/feed.py
+++ b/vanerelay/net/feed.py
@@ -168,9 +168,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
+    """One event of the list. `within_s`: the span before now in which all that it tells has happened, as its
+    source did not know of it earlier; None where nothing is known of that."""
+
     number: int
     whole: bool
     members: list[Member]
+    within_s: float | None = None
 
 
 def parse(data: Any, locations: Mapping[str, int], kinds: Mapping[str, int]) -> list[Change] | Unreadable:
--- a/vanerelay/net/roster.py
+++ b/vanerelay/net/roster.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Generator, Mapping
+from dataclasses import replace
 from typing import Any
 
 import structlog
@@ -116,6 +117,7 @@
         self._numbering, self._stopped = feed.Numbering(), False
         self._failures, self._sound = 0, True
         self._connection: FeedProtocol | None = None
+        self._current_at = reactor.seconds()  # what the feed had to tell by then was handed on
 
     @property
     def known(self) -> bool:
@@ -127,10 +129,11 @@
         if isinstance(changes, feed.Unreadable):
             return changes.why
         new, gap = self._numbering.fresh(changes)
+        within_s = self._reactor.seconds() - self._current_at
         faults = list[Exception]()
         for change in new:
             try:
-                self._changed(change)
+                self._changed(change if change.whole else replace(change, within_s=within_s))
             except Exception as fault:  # the next ones count all the same: they won't come again
                 faults.append(fault)
         if faults:
@@ -229,6 +232,8 @@
         if reply.status != 200:
             return f"status {reply.status}"
         wrong = self.apply(reply.body)
+        if wrong is None:
+            self._current_at = began
         if wrong is None and self._answered is not None:
             self._answered()
         if wrong is None and self._numbering.held == held and self._reactor.seconds() - began < SOON_S:
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -4,6 +4,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
 import structlog
@@ -25,6 +26,7 @@
 from vanerelay.net.resp import Note, Query
 from vanerelay.net.queries import Inner, Own, References, Request
 from vanerelay.net.requests import QueryRequest
+from vanerelay.net.starts import EngineStarts
 from vanerelay.net.statements import table_group, writes
 from vanerelay.seam import Guide, Part, Ran, Want
 
@@ -54,6 +56,7 @@
         self._refs = set[str]()  # of the batches open: an engine takes two under one for the same
         self._met = References(clock.now())
         self._read(profile)
+        self._starts = EngineStarts(clock)
         self._names, self._gone = Names(), set[int]()  # engines, and those of them that have left the list
         self._holding: Holding[Request] = Holding()
         self._gateway: Gateway | None = None
@@ -272,7 +275,8 @@
             engine = self._names.index(member.name)
             (self._gone if gone else there).add(engine)
             self._engines.listed(engine, member.address, member.started, gone)
-            entries.append(member.entry(engine))
+            started = self._starts.moment(engine, member.started, change.within_s)
+            entries.append(replace(member.entry(engine), started=started))
         self._gone -= there
         if change.whole:
             self._engines.only(there)
@@ -291,6 +295,7 @@
         for engine in list(itertools.islice(unknown, DROPPED)):
             self._gone.remove(engine)
             self._names.forget(engine)
+            self._starts.forget(engine)
 
     # What engines bring.
 
--- a/vanerelay/rollout/controller.py
+++ b/vanerelay/rollout/controller.py
@@ -75,6 +75,7 @@
         """From the record, if it holds a change that has not ended."""
         if resumed:
             self.course = Course.replayed(self._loaded.plan, self._record.events())
+            self.course.resume(self._clock.now())
             told = words.unpack(self._record.baseline(), self.judge.told().__class__)
             if told is not None:
                 self.judge.restore(told)
--- a/vanerelay/rollout/stages.py
+++ b/vanerelay/rollout/stages.py
@@ -139,6 +139,13 @@
 
     # The record.
 
+    def resume(self, now: int) -> None:
+        """Read back by another process: moments of the clock before can't be compared with those of now, so
+        what is waited for is waited for anew."""
+        self.since = dict.fromkeys(self.since, now)
+        self.ordered_at = {name: min(at, now) for name, at in self.ordered_at.items()}
+        self.stage_at = now
+
     def apply(self, event: Event) -> None:
         self.count += 1
         if event.what == "ordered":
