One guard before every attempt, answer and close, which counts what would break an invariant

What logs and metrics could not answer in the incident: which query was repeated and why, why a connection was closed, why a query was refused, when an engine changed its state. net/events.py counts all of them by kind and reason and writes a bounded number of lines with the query's id.

The guard (guard.py) keeps its own account of queries, attempts, engines and real time, apart from the decision module. Every attempt passes it once, when it is written (EngineConnection.send); what would break an invariant is not sent, is counted and shows in the last line of a process. Tests break the module on purpose (drains, the budget, effects) and see that nothing goes wrong outside.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -441,11 +441,12 @@
         options: str | None = None,
         settings: dict[str, Any] | None = None,
         faults: Faults | None = None,
+        environment: dict[str, str] | None = None,
         **limits_told: Any,
     ) -> None:
         """`options`: the operators' file, as HCL; `settings`: in place of those of SERVICES; `faults`: what
         befalls the process from within."""
-        self.faults = faults
+        self.environment = {**(faults.environment if faults is not None else {}), **(environment or {})}
         self.listen = free_address()
         host, _, port = self.listen.rpartition(":")
         self.address, self.feed = (host, int(port)), feed
@@ -469,8 +470,7 @@
 
     def start(self) -> None:
         environment = {"LB_NAME": "n0", "LB_LISTEN": self.listen}
-        environment |= self.faults.environment if self.faults is not None else {}
-        self.process = start(self.config, self.log, *self.words, **environment)
+        self.process = start(self.config, self.log, *self.words, **environment, **self.environment)
         until(self._ready, "readiness")
 
     def _ready(self) -> bool:
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,214 @@
+"""The guard: each invariant is broken on purpose, by calls or by a decision module that errs."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+import pytest
+
+from tests.helpers import COLD, GROUP, ROOT, SERVICES, entry, member, until
+from tests.test_crossings import joined, returns
+from vanerelay.guard import ENOUGH_ANSWERS, Guard, GuardTerms, Invariant
+from vanerelay.interface import SECOND, Effect, EngineState, MachineKind, Outcome, RationTerms, Scope
+from vanerelay.net.events import BURST, EventLog, Kind
+
+NOW = 1000 * SECOND
+LIMIT = NOW + 20 * SECOND
+
+
+def guard(budget=RationTerms(0, 0, 0.0), copies=False, most=3, **group):  # noqa: B008
+    terms = GuardTerms(
+        [dataclasses.replace(GROUP, **group)], [MachineKind(16, 32000.0)] * 2, budget, COLD, most, copies
+    )
+    made = Guard(terms)
+    for number in range(4):
+        made.listed(entry(number, location=number % 2, cell=number))
+    return made
+
+
+def attempt(made, record, number, outcome, at=NOW, engine=0):
+    """Begins an attempt and ends it as told."""
+    assert made.begin(at, record, number, engine) is None
+    made.attempt_ended(record, number, outcome, 0)
+
+
+def test_attempts_within_the_rules_break_nothing():
+    made = guard()
+    record = made.taken(NOW, 0, LIMIT, True)
+    for number, outcome in enumerate([Outcome.ERRORED, Outcome.RESET, Outcome.RETURNED]):
+        attempt(made, record, number, outcome, engine=number)
+    assert made.answered(record) and made.closing(0) and made.told() == {}
+
+
+@pytest.mark.parametrize("state", [EngineState.DRAINING, EngineState.GONE])
+def test_nothing_is_sent_to_an_engine_that_drains_or_is_gone(state):
+    made = guard()
+    record = made.taken(NOW, 0, LIMIT, True)
+    made.listed(entry(1, state=state))
+    assert made.begin(NOW, record, 0, 1) is Invariant.DRAIN
+    assert made.begin(NOW, record, 0, 9) is Invariant.DRAIN  # never listed
+    made.only({0})
+    assert made.begin(NOW, record, 0, 2) is Invariant.DRAIN and made.begin(NOW, record, 0, 0) is None
+    assert made.told() == {"drain": 3}
+
+
+def test_further_attempts_stay_within_the_budget_of_real_time():
+    made = guard(RationTerms(10 * SECOND, 1, 0.1), most=99)
+    records = [made.taken(NOW, 0, LIMIT, True) for _ in range(20)]
+    spare = made.taken(NOW, 0, LIMIT, False)
+    found = []
+    for record in [*records, spare]:
+        attempt(made, record, 0, Outcome.ERRORED)
+        found.append(made.begin(NOW + 1, record, 1, 1))
+    assert found.count(None) == 3 and set(found[3:]) == {Invariant.BUDGET}
+    later = NOW + 10 * SECOND + SECOND // 10
+    assert made.begin(later, records[-1], 1, 1) is None  # one is free whenever nothing counts any more
+    assert made.begin(later, spare, 1, 1) is Invariant.BUDGET
+
+
+@pytest.mark.parametrize(
+    ("effect", "scope", "outcome", "at", "engine", "broken"),
+    [
+        (Effect.REPEATABLE, Scope.ALL, Outcome.RESET, 9 * SECOND, 1, None),
+        (Effect.ONCE_ONLY, Scope.ALL, Outcome.RESET, 1, 1, Invariant.EFFECT),
+        (Effect.ONCE_ONLY, Scope.ALL, Outcome.TIMED_OUT, 1, 1, Invariant.EFFECT),
+        (Effect.ONCE_ONLY, Scope.ALL, Outcome.NO_CONNECTION, 1, 1, None),
+        (Effect.ONCE_ONLY, Scope.ALL, Outcome.PUSHED_BACK, 1, 1, None),
+        (Effect.REFERENCED, Scope.ALL, Outcome.RESET, 5 * SECOND - 1, 1, None),
+        (Effect.REFERENCED, Scope.ALL, Outcome.RESET, 5 * SECOND, 1, Invariant.EFFECT),
+        (Effect.REFERENCED, Scope.ALL, Outcome.NOT_SENT, 5 * SECOND, 1, None),
+        (Effect.REFERENCED, Scope.LOCATION, Outcome.RESET, 1, 1, Invariant.EFFECT),
+        (Effect.REFERENCED, Scope.LOCATION, Outcome.RESET, 1, 2, None),
+        (Effect.REFERENCED, Scope.CELL, Outcome.RESET, 1, 2, Invariant.EFFECT),
+        (Effect.REFERENCED, Scope.CELL, Outcome.RESET, 1, 0, None),
+    ],
+)
+def test_what_may_have_run_is_repeated_only_where_that_does_no_harm(
+    effect, scope, outcome, at, engine, broken
+):
+    made = guard(effect=effect, scope=scope, window=5 * SECOND)
+    record = made.taken(NOW, 0, LIMIT, True)
+    attempt(made, record, 0, outcome)
+    assert made.begin(NOW + at, record, 1, engine) is broken
+
+
+def test_ends_deadlines_copies_and_counts_are_kept():
+    made = guard()
+    record = made.taken(NOW, 0, LIMIT, True)
+    assert made.begin(LIMIT, record, 0, 0) is Invariant.DEADLINE
+    assert made.begin(NOW, record, 0, 0) is None and made.begin(NOW, record, 1, 1) is Invariant.COPY
+    assert made.begin(NOW, record, 3, 1) is Invariant.ATTEMPTS
+    assert guard(copies=True).begin(NOW, record, 1, 1) is None
+    assert made.answered(record) and not made.closing(1)
+    record.ended = True
+    assert made.begin(NOW, record, 1, 1) is Invariant.ENDED and not made.answered(record)
+    assert made.told() == {"deadline": 1, "copy": 1, "attempts": 1, "close": 1, "ended": 1, "answer": 1}
+
+
+def test_a_cold_engine_gets_no_more_than_all_together_may_send():
+    made = guard(most=99)
+    made.listed(entry(1, started=NOW - 1))
+    warm = made.taken(NOW, 0, LIMIT, True)
+    for _ in range(ENOUGH_ANSWERS):
+        made.attempt_ended(warm, 0, Outcome.RETURNED, SECOND)
+    allowed = COLD.multiple * COLD.share * 16 * COLD.window / SECOND
+    found = [made.begin(NOW, made.taken(NOW, 0, LIMIT, True), 0, 1) for _ in range(60)]
+    assert allowed < found.count(None) <= allowed + 3 * allowed**0.5 + 3 and found[-1] is Invariant.COLD
+    assert made.begin(NOW, warm, 0, 0) is None  # one that is warm takes what comes
+    after = NOW + COLD.warm_after + COLD.window
+    assert made.begin(after, made.taken(after, 0, 2 * after, True), 0, 1) is None
+
+
+def broken_by(node):
+    """What the guard counted, as the process says at its end."""
+    node.process.terminate()
+    assert node.process.wait(30) == 0
+    lines = [json.loads(line) for line in node.log.read_text().splitlines() if line.startswith("{")]
+    return next(line for line in lines if line["event"] == "ended")["broken"]
+
+
+ERRING = {
+    "drain": "decide.Batch.may_begin = lambda self, attempt: True\n"
+    "decide.Gateway._list = lambda self, engine, listed, real=decide.Gateway._list: real(self, engine, True)",
+    "budget": "decide.Ration.allows = lambda self, now, little=False: True",
+    "effect": "decide.Batch.allowed_until = lambda self, before=None: float('inf')\n"
+    "decide.Gateway.worth_more = lambda self, batch: True",
+}
+
+
+@pytest.mark.parametrize("fault", ERRING)
+def test_a_decision_module_that_errs_does_no_harm_and_is_counted(started, tmp_path, fault):
+    """Real processes, whose module is broken on purpose when they start."""
+    shim = tmp_path / "erring"
+    shim.mkdir()
+    (shim / "sitecustomize.py").write_text(f"from vanerelay import decide\n{ERRING[fault]}\n")
+    one, two = (started.engine(returns if fault == "drain" else errs) for _ in "ab")
+    safety = {**SERVICES["safety"], "ratioSpanUs": 60_000_000, "minExtra": 2, "extraRatio": 0.0}
+    node = started(
+        member(one, "s-1"),
+        member(two, "s-2"),
+        settings={"safety": safety},
+        environment={"PYTHONPATH": f"{shim}:{ROOT}"},
+    )
+    client = joined(node)
+    if fault == "drain":
+        node.feed.heard(node.feed.tell(member(one, "s-1", "DRAINING")))
+    for stream in range(1, 13):
+        client.ask(stream, f"a{stream}", "load" if fault == "effect" else "look")
+        assert client.answer()[0] == stream
+    assert broken_by(node).get(fault, 0) > 0
+    sent = len(one.served()) + len(two.served())
+    if fault == "drain":
+        assert one.served() == []
+    else:
+        assert sent == 12 if fault == "effect" else 12 < sent <= 14
+
+
+def errs(engine, connection, ident):
+    engine.say(connection, ident, "ERR")
+
+
+def test_a_sound_module_breaks_nothing(started):
+    engine = started.engine(returns)
+    node = started(member(engine))
+    client = joined(node)
+    for stream in range(1, 13):
+        client.ask(stream, f"a{stream}")
+        assert client.answer()[:2] == (stream, 0)
+    assert broken_by(node) == {}
+
+
+def test_lines_of_events_are_bounded_and_all_are_counted(capsys):
+    class Stopped:
+        def seconds(self):
+            return 5.0
+
+    events = EventLog(Stopped())
+    for number in range(10 * BURST):
+        events.note(Kind.RETRY, "reset", id=f"{number:016x}")
+    events.write_counts()
+    assert events.counts[Kind.RETRY, "reset"] == 10 * BURST
+    assert capsys.readouterr().out.count(Kind.RETRY.value) <= BURST + 1
+
+
+def test_retries_refusals_closes_and_changes_of_state_are_in_the_log_with_their_reasons(started):
+    one, two = started.engine(errs), started.engine(errs)
+    node = started(member(one, "s-1"), member(two, "s-2"))
+    client = joined(node)
+    client.ask(1, "a1")
+    client.answer()
+    client.ask(2, "a2", "load")
+    client.answer()
+    client.send(b"\0\0\0\0")
+    node.feed.heard(node.feed.tell(member(one, "s-1", "DRAINING")))
+    until(lambda: "up to draining" in node.log.read_text(), "the change of state")
+    until(lambda: "client, by us" in node.log.read_text(), "the close")
+    lines = [json.loads(line) for line in node.log.read_text().splitlines() if line.startswith("{")]
+    retry = next(line for line in lines if line["event"] == Kind.RETRY.value)
+    assert bytes.fromhex(retry["id"]).lstrip(b"\0") == b"a1" and retry["why"] == "error, written whole"
+    refusal = [line for line in lines if line["event"] == Kind.REFUSAL.value]
+    assert [line["why"] for line in refusal] == ["pushed back by the module", "failed by the module"]
+    assert any(line["event"] == Kind.CLOSE.value and "client, by us" in line["why"] for line in lines)
+    state = next(line for line in lines if line["event"] == Kind.STATE.value)
+    assert state["engine"] == "s-1" and state["why"] == "engine up to draining"
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -20,6 +20,7 @@
 from vanerelay.net import frames
 from vanerelay.net.buffers import Pool
 from vanerelay.net.clock import Clock
+from vanerelay.net.events import EventLog, Kind
 from vanerelay.net.sparing import Sparing
 
 IDLE_S = 4.0  # clients close connections idle for this long; one that takes nothing for as long is given up
@@ -55,6 +56,8 @@
 
     def ready(self) -> bool: ...
 
+    def may_close(self, unanswered: int) -> bool: ...
+
 
 @implementer(IPushProducer)
 class ClientConnection(Protocol):
@@ -83,7 +86,7 @@
         # The transport says when its buffer is over its size; nothing more is read until it has drained.
         self.transport.registerProducer(self, True)
         if not self._clients.joined(self):
-            self.end()
+            self.end("no descriptor is left")
 
     def dataReceived(self, data: bytes) -> None:
         since = self._since()
@@ -149,12 +152,16 @@
             return
         self._deaf = True
         self._clients.refused.warn(why=why)
+        self._fail_open()
+        self._write(frames.answer(frames.ANSWER, 0, frames.ERRORED, {}))
+        self.end(why)
+
+    def _fail_open(self) -> None:
+        """The final answer of each query that is open here, for which nothing is done any more."""
         opened, self.open = self.open, {}
         for stream, asked in opened.items():
             self._write(frames.answer(frames.ANSWER, stream, frames.ERRORED, {}))
             self._leave(asked)
-        self._write(frames.answer(frames.ANSWER, 0, frames.ERRORED, {}))
-        self.end()
 
     def _leave(self, asked: Asked) -> None:
         try:
@@ -190,12 +197,15 @@
         self._closing = True
         self._rest()
 
-    def end(self) -> None:
+    def end(self, why: str) -> None:
         """Ends our side once all has left. What the client still sends is read and dropped until its own end
         comes, for a while: a close over unread bytes is a reset, which takes answers along."""
         ended, self.ended, self._deaf = self.ended, True, True
         if ended or self._lost:
             return
+        if not self._clients.service.may_close(len(self.open)):
+            self._fail_open()
+        self._clients.events.note(Kind.CLOSE, f"client, by us: {why}")
         self._reader.drop()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
@@ -219,7 +229,7 @@
 
     def _rest(self) -> None:
         if self._closing and not self.open:
-            self.end()
+            self.end("we end")
 
     # The transport's word on how its buffer stands.
 
@@ -240,7 +250,7 @@
 
     def _give_up(self) -> None:
         self._stuck = None
-        log.warning("client takes no answers, its connection is ended")
+        log.warning("client takes no answers, its connection is ended", open=len(self.open))
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = GONE) -> None:
@@ -251,6 +261,9 @@
         self._stuck = self._lingers = None
         self._reader.drop()
         self._clients.parted(self)
+        if not self.ended:
+            why = f"client, by it: {reason.type.__name__ if reason.type else 'unknown'}"
+            self._clients.events.note(Kind.CLOSE, why, bool(self.open), open=len(self.open))
         gone, self.open = list(self.open.values()), {}
         for asked in gone:
             self._leave(asked)
@@ -275,9 +288,17 @@
     noisy = False
 
     def __init__(
-        self, reactor: Any, clock: Clock, service: Served, pool: Pool, most: int, spare: Callable[[], bool]
+        self,
+        reactor: Any,
+        clock: Clock,
+        service: Served,
+        pool: Pool,
+        most: int,
+        spare: Callable[[], bool],
+        events: EventLog | None = None,
     ) -> None:
         """`most` connections are their share; past it one more is kept while there is a spare descriptor."""
+        self.events = events or EventLog(reactor)
         self._spare = spare
         self.reactor, self.clock, self.service, self.pool, self._most = reactor, clock, service, pool, most
         self._all: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest unused first
@@ -326,7 +347,7 @@
         if silent is not None and silent.used_at < new_since:
             silent.look()
             if silent.silent:
-                silent.end()
+                silent.end("silent, and others want its descriptor")
                 return True
         idle = next(
             (
@@ -339,7 +360,7 @@
         if idle is None:
             # Turned away, what it has sent already would be lost: only where no descriptor is left.
             return self._spare()
-        idle.end()
+        idle.end("idle, and others want its descriptor")
         return True
 
     def lingers(self, connection: ClientConnection) -> None:
@@ -377,7 +398,7 @@
             if now - connection.used_at < KEPT_S:
                 break
             if not connection.open and not connection.ended:
-                connection.end()
+                connection.end("idle")
 
     def parted(self, connection: ClientConnection) -> None:
         self._all.pop(connection, None)
--- a/vanerelay/net/connections.py
+++ b/vanerelay/net/connections.py
@@ -20,9 +20,11 @@
 
 from vanerelay.net.buffers import Pool
 from vanerelay.net.ends import Cause, End, Stage
+from vanerelay.net.events import EventLog, Kind
 from vanerelay.net.resp import Exchange, Note, Query
 
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+NAMED_MOST = 5  # attempts named in one line of the log
 
 log = structlog.get_logger()
 
@@ -36,6 +38,7 @@
     port: int
     settings: ConnectionSettings
     connections: list[EngineConnection]
+    events: EventLog
     warned: bool  # of what it answered, once in its life
 
     @property
@@ -95,7 +98,7 @@
         self.ident, self.query, self.used, self.words = ident, query, used, words
         self.done: Deferred[End] = Deferred()
         self.noted: Callable[[Note], None] = lambda note: None
-        # Asked when it is about to be written, which may be long after it was planned.
+        # Asked once, when it is about to be written, which may be long after it was planned.
         self.may_begin: Callable[[], bool] = lambda: True
         self.connection: EngineConnection | None = None
         self.timer: Any = None
@@ -215,6 +218,10 @@
         if self._protocol is None or self.waiting:
             self.waiting.append(attempt)
             return
+        if not attempt.may_begin():
+            attempt.connection = None
+            self._process.reactor.callLater(0, attempt.end, End(Cause.OVER, Stage.NOT_CONNECTED))
+            return
         attempt.used.append(self)
         attempt.sent_at = self.used_at
         self.attempts[attempt.ident] = attempt
@@ -256,7 +263,7 @@
     def _abandon(self, attempt: Attempt, end: End) -> None:
         if self._process.settings.alone and end.stage is Stage.WRITTEN:
             self._leaving.append((attempt, end))
-            self._abort()
+            self._abort("an attempt on it was given up")
         elif self.exchange.out:
             self._leaving.append((attempt, end))
             self._flush()
@@ -268,13 +275,20 @@
     def _stuck(self, given_up: Attempt) -> None:
         """A connection that takes no bytes ends, so that what was given up on it does."""
         if any(attempt is given_up for attempt, _ in self._leaving):
-            self._abort()
+            self._abort("it takes no bytes")
 
-    def _abort(self) -> None:
+    def _abort(self, why: str) -> None:
         self._closing = True
         if self._protocol is not None and not self.over:
+            self._note_close(f"aborted: {why}")
             self._protocol.abort()
 
+    def _note_close(self, why: str) -> None:
+        idents = [ident.decode() for ident in self.attempts]
+        self._process.events.note(
+            Kind.CLOSE, f"engine, {why}", bool(idents), host=self._process.host, out=idents[:NAMED_MOST]
+        )
+
     def probe(self, tag: bytes) -> None:
         if self._protocol is not None and not self.over:
             self.exchange.health(tag)
@@ -293,7 +307,7 @@
             else:
                 self.attempts.pop(ident).end(end)
         if self.exchange.broken:
-            self._abort()
+            self._abort("what came can't be read")
         else:
             self._flush()
             self._await()
@@ -323,11 +337,12 @@
         if not self.over:
             for ident, end in self.exchange.spoil("an answer stopped short"):
                 self._spoilt(ident, end)
-            self._abort()
+            self._abort("an answer stopped short")
 
     def lost(self, cause: Cause) -> None:
         if self.over:
             return
+        self._note_close(cause.value)
         self._end()
         for ident, stage in self.exchange.lost().items():
             # The transport did not report that all had left, so its last command did not leave whole. One
@@ -352,6 +367,7 @@
     def _retire(self) -> None:
         worn = self._closing or self.exchange.worn
         if worn and not self.busy and not self._leaving and not self.over and self._protocol is not None:
+            self._note_close("not used any more")
             self._end()
             self._protocol.close()
 
@@ -375,7 +391,7 @@
             return
         waiting, self.waiting = self.waiting, deque()
         for attempt in waiting:
-            if self.over or not attempt.may_begin():
+            if self.over:
                 attempt.end(End(Cause.OVER, Stage.NOT_CONNECTED))
             else:
                 self.send(attempt)
@@ -385,7 +401,14 @@
         if not self.over:
             self._end()
             timed_out = isinstance(fault.value, ConnectTimeOut)
-            self._fail_waiting(Cause.CONNECT_TIME_OUT if timed_out else Cause.REFUSED)
+            cause = Cause.CONNECT_TIME_OUT if timed_out else Cause.REFUSED
+            self._process.events.note(
+                Kind.CLOSE,
+                f"engine, {cause.value}",
+                host=self._process.host,
+                fault=type(fault.value).__name__,
+            )
+            self._fail_waiting(cause)
 
     def _fail_waiting(self, cause: Cause) -> None:
         waiting, self.waiting = self.waiting, deque()
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -12,6 +12,7 @@
 from vanerelay.net.buffers import Pool
 from vanerelay.net.connections import Attempt, ConnectionSettings, EngineConnection
 from vanerelay.net.ends import Cause, End, Stage
+from vanerelay.net.events import EventLog
 
 DROPPED = 2500  # engines let go of in one sweep: a list may lose ten thousand at once
 
@@ -34,7 +35,9 @@
         port: int,
         settings: ConnectionSettings,
         when_fresh: Callable[[Callable[[], None]], None],
+        events: EventLog,
     ) -> None:
+        self.events = events
         self.reactor, self.host, self.port, self.pool = reactor, host, port, pool
         self.settings, self.when_fresh = settings, when_fresh
         self.connections: list[EngineConnection] = []
@@ -87,11 +90,13 @@
         settings: ConnectionSettings,
         connections: int,
         when_fresh: Callable[[Callable[[], None]], None],
+        events: EventLog | None = None,
     ) -> None:
         """`connections`: the most there may be. `when_fresh` calls back once no client that has left can be
         unnoticed for long: only then an attempt that waited for its connection begins."""
         self._reactor, self._pool, self._settings, self._when_fresh = reactor, pool, settings, when_fresh
         self._connections, self._full = connections, False
+        self._events = events or EventLog(reactor)
         self._gone: set[int] = set()
         self._processes: dict[int, EngineProcess] = {}
         self._called: dict[EngineProcess, None] = {}  # those that have connections, or had when last swept
@@ -114,7 +119,7 @@
         host, _, port = address.rpartition(":")
         self._lives[engine], self._addresses[address] = (address, started), engine
         self._processes[engine] = EngineProcess(
-            self._reactor, self._pool, host, int(port), self._settings, self._when_fresh
+            self._reactor, self._pool, host, int(port), self._settings, self._when_fresh, self._events
         )
 
     def only(self, there: set[int]) -> None:
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -25,6 +25,7 @@
 from vanerelay.net.ends import End
 from vanerelay.net.connections import ConnectionSettings
 from vanerelay.net.engines import Engines
+from vanerelay.net.events import EventLog
 from vanerelay.net.extensions import guarded
 from vanerelay.net.peers import Peers
 from vanerelay.net.roster import Roster
@@ -116,12 +117,13 @@
             patience_s=patience_s,
         )
         most_connections = max(1, descriptors - clients - OWN)
-        engines = Engines(reactor, pool, connections, most_connections, clock.when_fresh)
+        self.events = EventLog(reactor)
+        engines = Engines(reactor, pool, connections, most_connections, clock.when_fresh, self.events)
         peers = None
         if allowed.peers and told.get("peer_listen") and told.get("peers_all"):
             peers = Peers(told["peer_listen"], told.get("peers") or [], told["peers_all"])
         room = int(told["limits"].get("memory_mb") or 192) * 2**20 // STATEMENT_SHARE
-        self.service = Service(reactor, clock, profile, engines, peers, room)
+        self.service = Service(reactor, clock, profile, engines, peers, room, self.events)
         self.seed = int(str(told.get("seed", "0")), 16)
         names = profile.get("failureDomains") or [], profile.get("kinds") or []
         self.places, self.kinds = ({one: row for row, one in enumerate(listed)} for listed in names)
@@ -153,6 +155,7 @@
             pool,
             clients,
             lambda: self.clients.number + engines.connections() + OWN < descriptors,
+            self.events,
         )
         self._engines, self._drained = engines, Deferred[None]()
         self._collect_past = room * STATEMENT_SHARE // 2
@@ -188,7 +191,8 @@
         if self._kept.ready_fd is not None:
             self.reactor.callWhenRunning(self._say_ready, self._kept.ready_fd)
         self.reactor.run()
-        log.info("ended")
+        self.events.write_counts()
+        log.info("ended", broken=self.service.guard.told())
 
     def _end_once(self) -> None:
         """SIGTERM may come again while we drain: it says nothing new, and Twisted takes it for a fault."""
@@ -245,6 +249,7 @@
     def _sweep(self) -> None:
         self.reactor.callLater(SWEEP_S, self._sweep)  # first: a fault below must not be the last sweep
         self.service.sweep()
+        self.events.sweep()
         late = self.reactor.latest()
         if late > STOOD_STILL_S:
             log.warning("stood still", ms=round(late * 1000))
@@ -321,10 +326,12 @@
         return self._drained
 
     def _no_connections(self) -> None:
+        log.info("no new connections from now on", clients=self.clients.number, open=self.service.open)
         self.clients.stop_listening()
         self.clients.each(lambda client: client.last())
 
     def _no_requests(self) -> None:
+        log.info("no new queries from now on", clients=self.clients.number, open=self.service.open)
         self.reactor.callLater(0, self._await_answers)
         self.clients.each(lambda client: client.end_when_answered())
 
--- a/vanerelay/net/queries.py
+++ b/vanerelay/net/queries.py
@@ -12,6 +12,7 @@
 from vanerelay.net.clients import ClientConnection
 from vanerelay.net.clock import UNITS
 from vanerelay.net.connections import Attempt, EngineConnection
+from vanerelay.guard import QueryRecord
 from vanerelay.net.requests import QueryRequest
 from vanerelay.seam import Guide
 
@@ -32,7 +33,9 @@
         "guide",
         "idempotency_key",
         "limit",
+        "outcome",
         "priority",
+        "record",
         "service",
         "since",
         "stream",
@@ -58,6 +61,8 @@
         self.grant = self.priority = 0
         self.arrival: Arrival | None = None
         self.guide: Guide | None = None
+        self.record: QueryRecord | None = None  # of the guard; None until it was taken
+        self.outcome = ""  # of the last attempt that ended
 
     def left(self) -> None:
         self.service.left(self)
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -21,7 +21,9 @@
 from vanerelay.net.connections import Attempt
 from vanerelay.net.deadlines import Deadlines
 from vanerelay.net.engines import DROPPED, Engines
+from vanerelay.net.events import EventLog, Kind
 from vanerelay.net.extensions import Extensions, guarded
+from vanerelay.guard import Guard, Invariant, StateChange
 from vanerelay.net.peers import Peers
 from vanerelay.net.resp import Note, Query
 from vanerelay.net.queries import Inner, Own, References, Request
@@ -50,11 +52,14 @@
         engines: Engines,
         peers: Peers | None,
         room: int,
+        events: EventLog | None = None,
     ) -> None:
         """`room`: bytes that the statements of open batches may take together."""
+        self.events = events or EventLog(reactor)
         self._reactor, self._clock, self._engines, self._peers = reactor, clock, engines, peers
         self._refs = set[str]()  # of the batches open: an engine takes two under one for the same
         self._met = References(clock.now())
+        self.guard = Guard(terms.guard_terms(profile))
         self._read(profile)
         self._starts = EngineStarts(clock)
         self._names, self._gone = Names(), set[int]()  # engines, and those of them that have left the list
@@ -90,6 +95,7 @@
             gateway.succeed(old)
             self._ending.append(old)
         self._read(profile)
+        self.guard.switch(terms.guard_terms(profile))
         self._gateway = gateway
         if self._peers is not None:
             self._peers.heard_from = lambda number, data: self._heard_from(gateway, number, data)
@@ -107,6 +113,10 @@
 
     # What clients bring.
 
+    def may_close(self, unanswered: int) -> bool:
+        """Whether a client's connection may be closed as it stands."""
+        return self.guard.closing(unanswered)
+
     def ready(self) -> bool:
         return self._listed and self._gateway is not None and not self.ending
 
@@ -121,10 +131,12 @@
         group = self._groups.get(asked.service_class) if asked is not None else None
         if asked is None or group is None or not self._usable(asked, group):
             self._count_unheld(frame.fields, frames.ERRORED)
+            self.events.note(Kind.REFUSAL, "no engine could use it", id=frame.fields.get("ref", "")[:16])
             client.answer(frame.stream, frames.ERRORED, {}, b"")
             return Taken.UNUSABLE
         if self._full(len(asked.body)):
             self._count_unheld(frame.fields, frames.PUSHED_BACK)
+            self.events.note(Kind.REFUSAL, "no room for one more", id=asked.reference)
             client.answer(frame.stream, frames.PUSHED_BACK, {}, b"")
             return Taken.ANSWERED
         # The client counts from when it sent, which nobody tells: the earliest moment known stands for it.
@@ -150,6 +162,7 @@
             tables=table_group(asked.statement),
             spare=self._met.again(asked.reference, self.now),
         )
+        held.record = self.guard.taken(self.now, group, limit, not held.arrival.spare)
         if guide is None:
             self._take(held)
         else:
@@ -209,6 +222,7 @@
             among=frozenset({engine}),
             spare=True,
         )
+        held.record = self.guard.taken(self.now, row, held.limit, False)
         self._take(held)
         self._settle(held)
         self._guard()
@@ -230,6 +244,7 @@
             return
         group = self._groups.get(held.group.decode())  # settings may have been switched while it waited
         if group is None:
+            self._note_refusal(held, "its class is gone")
             self._answer(held, frames.PUSHED_BACK, {}, b"")
         else:
             held.arrival.group = group
@@ -239,6 +254,7 @@
 
     def refused(self, held: Request, wait: int) -> None:
         if not held.ended and held.batch is None:
+            self._note_refusal(held, "by who leads it")
             told = min(wait, self._longest_wait) // 10
             self._answer(held, frames.PUSHED_BACK, {"cooldown": str(told)} if told > 0 else {}, b"")
         self._settle(held)
@@ -246,6 +262,7 @@
     def left(self, held: Request) -> None:
         """Its client no longer waits; what is out still ends."""
         if not held.ended:
+            self.events.note(Kind.REFUSAL, "its client left", False)
             self._count(held, frames.RETURNED, False)
             self._finish(held)
             if held.batch is not None:
@@ -258,6 +275,7 @@
 
     def _expired(self, held: Request) -> None:
         """Its deadline has come, whatever the module made of it."""
+        self._note_refusal(held, "its deadline has come")
         self._answer(held, frames.ERRORED, {}, b"")
         if held.batch is not None:
             self._call(held, held.batch.left)
@@ -276,10 +294,13 @@
             (self._gone if gone else there).add(engine)
             self._engines.listed(engine, member.address, member.started, gone)
             started = self._starts.moment(engine, member.started, change.within_s)
-            entries.append(replace(member.entry(engine), started=started))
+            entry = replace(member.entry(engine), started=started)
+            self._note_state(member, self.guard.listed(entry))
+            entries.append(entry)
         self._gone -= there
         if change.whole:
             self._engines.only(there)
+            self.guard.only(there)
             self._gone = self._names.all() - there
         self._listed = True
         self._ending = [gateway for gateway in self._ending if not gateway.done()]
@@ -296,6 +317,7 @@
             self._gone.remove(engine)
             self._names.forget(engine)
             self._starts.forget(engine)
+            self.guard.forget(engine)
 
     # What engines bring.
 
@@ -303,6 +325,7 @@
         outcome = ends.outcome(end)
         held.out -= 1
         held.attempts[number] = None
+        held.outcome = f"{end.cause.value}, {end.stage.value}"
         fields: dict[str, str] | None = {}
         if held.guide is not None and not held.ended:
             if outcome is Outcome.RETURNED:
@@ -310,14 +333,17 @@
                 outcome = Outcome.RETURNED if fields is not None else Outcome.SPOILT
             else:
                 guarded(held.guide.missed, engine, outcome)
+        work = round(_told(end.told, "elapsed") * 10)
+        if held.record is not None:
+            self.guard.attempt_ended(held.record, number, outcome, work)
         if outcome is Outcome.RETURNED and not held.ended:
             if self._extensions.learns:
                 self._learn(held, engine, end)
             self._answer(held, frames.RETURNED, fields or {}, end.rows)
         if held.batch is not None:
-            work, memory = _told(end.told, "elapsed"), _told(end.told, "rss")
+            memory = _told(end.told, "rss")
             report = terms.load_report(self._reported, _report(end.told.get("l", "")))
-            result = AttemptResult(outcome, self._clock.now() - sent, round(work * 10), memory, report)
+            result = AttemptResult(outcome, self._clock.now() - sent, work, memory, report)
             self._call(held, held.batch.ended, number, result, held.ended)
         self._settle(held)
         self._guard()
@@ -358,12 +384,15 @@
         except Exception:
             log.exception("the decision module met a fault")
             if held is not None and not held.ended:
+                self._note_refusal(held, "a fault")
                 self._answer(held, frames.ERRORED, {}, b"")
             return False
         return True
 
     def _finish(self, held: Request) -> None:
         held.ended = True
+        if held.record is not None:
+            held.record.ended = True
         self.open -= 1
         self._refs.discard(held.name)
         self._room += len(held.body)
@@ -385,10 +414,25 @@
         self._extensions.answered(told.get("service", ""), 0.0, code, 0, 0)
 
     def _answer(self, held: Request, code: int, fields: dict[str, str], body: bytes) -> None:
+        if held.record is not None and not self.guard.answered(held.record):
+            self.events.note(Kind.BROKEN, Invariant.ANSWER.value, id=held.name)
+            return
         self._count(held, code)
         self._finish(held)
         held.client.answer(held.stream, code, fields, body)
 
+    def _note_refusal(self, held: Request, why: str) -> None:
+        waited = (self._clock.now() - held.since) * 1000 // UNITS
+        attempts = len(held.attempts)
+        self.events.note(
+            Kind.REFUSAL, why, id=held.name, waited_ms=waited, attempts=attempts, last=held.outcome
+        )
+
+    def _note_state(self, member: feed.Member, change: StateChange | None) -> None:
+        if change is not None:
+            why = f"engine {change.before} to {change.after}"
+            self.events.note(Kind.STATE, why, change.before != "unknown", engine=member.name)
+
     def _settle(self, held: Request) -> None:
         self._holding.settle(held)
 
@@ -413,31 +457,55 @@
         attempt.noted = lambda note: self._noted(held, number, note)
         attempt.done.addCallback(self._ended, held, number, self.now, engine)
         attempt.done.addErrback(self._fault)
-        attempt.may_begin = lambda: self._may_begin(held, number)
+        attempt.may_begin = lambda: self._may_begin(held, number, engine)
+        if number:
+            self.events.note(
+                Kind.RETRY,
+                held.outcome or "none ended",
+                id=held.name,
+                attempt=number,
+                engine=self._name(engine),
+            )
         if held.ended or wait <= 0 or number >= self._most_dispatches:
             self._reactor.callLater(0, attempt.end, End(Cause.OVER, Stage.NOT_CONNECTED))
         elif self._clock.fresh:
             self._begin(held, attempt, engine, wait)
         else:
             until = self.now + wait
-            self._clock.after_look(lambda: self._begin_late(held, attempt, engine, until))
+            self._clock.after_look(lambda: self._begin_late(held, number, attempt, engine, until))
 
     def _begin(self, held: Request, attempt: Attempt, engine: int, wait: int) -> None:
         if held.guide is not None:
             guarded(held.guide.sent, engine)
         self._engines.send(engine, attempt, wait / UNITS)
 
-    def _begin_late(self, held: Request, attempt: Attempt, engine: int, until: int) -> None:
+    def _begin_late(self, held: Request, number: int, attempt: Attempt, engine: int, until: int) -> None:
         """An attempt that was planned while it was not known whether its client is still there."""
         left = until - self._clock.now()
-        if left > 0 and attempt.may_begin():
+        if left > 0 and self._wanted(held, number):
             self._begin(held, attempt, engine, left)
         else:
             attempt.end(End(Cause.OVER, Stage.NOT_CONNECTED))
 
-    def _may_begin(self, held: Request, number: int) -> bool:
+    def _wanted(self, held: Request, number: int) -> bool:
+        """Whether a planned attempt may still begin, as the module sees it."""
         self.now = self._clock.now()
-        return not held.ended and held.batch is not None and held.batch.may_begin(number)
+        if held.ended:
+            return False
+        # The first is planned while its query is taken, when there is no handle yet.
+        return held.batch is None or held.batch.may_begin(number)
+
+    def _may_begin(self, held: Request, number: int, engine: int) -> bool:
+        """The one place that every attempt passes before it is written."""
+        if held.record is None or not self._wanted(held, number):
+            return False
+        broken = self.guard.begin(self.now, held.record, number, engine)
+        if broken is not None:
+            self.events.note(Kind.BROKEN, broken.value, id=held.name, engine=self._name(engine))
+        return broken is None
+
+    def _name(self, engine: int) -> str:
+        return self._names.name(engine) if self._engines.knows(engine) else ""
 
     def _withdraw(self, held: Request) -> None:
         """Nobody waits for it any more: what has not begun does not, also where nothing can be cancelled."""
@@ -457,6 +525,7 @@
     def push_back(self, batch: int, retry_after: int) -> None:
         held = self._holding.at(batch)
         if not held.ended:
+            self._note_refusal(held, "pushed back by the module")
             cooldown = {"cooldown": str(retry_after // 10)} if retry_after > 0 else {}
             self._answer(held, frames.PUSHED_BACK, cooldown, b"")
         self._settle(held)  # given up in the line nothing else comes for it, and it would stay for good
@@ -464,6 +533,7 @@
     def error(self, batch: int) -> None:
         held = self._holding.at(batch)
         if not held.ended:
+            self._note_refusal(held, "failed by the module")
             self._answer(held, frames.ERRORED, {}, b"")
         self._settle(held)
 
--- a/vanerelay/terms.py
+++ b/vanerelay/terms.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from vanerelay.decide import Gateway
+from vanerelay.guard import GuardTerms
 from vanerelay.interface import (
     Allowances,
     ColdStart,
@@ -129,6 +130,18 @@
     )
 
 
+def guard_terms(profile: dict[str, Any]) -> GuardTerms:
+    allowed = allowances(profile)
+    return GuardTerms(
+        groups=service_groups(profile),
+        kinds=machine_kinds(profile),
+        budget=ration_terms(profile),
+        cold=cold_start(profile),
+        most_attempts=allowed.most_dispatches,
+        copies=allowed.copies,
+    )
+
+
 def order_pause(profile: dict[str, Any]) -> int:
     return up((profile.get("safety") or {}).get("orderPauseUs") or 0)
 
