--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -96,6 +96,20 @@
     assert client.answer()[:2] == (1, 0) and other.served() == ["a1"] and slow.served() == []
 
 
+def test_an_engine_is_told_the_time_that_is_left_when_its_connection_comes_up(started):
+    """It was told what was left when the attempt was planned, up to a connect too long."""
+    engine = started.engine(returns, full=True)
+    client = joined(started(member(engine), limits=CONNECT))
+    client.ask(1, "a1", allow="15000")
+    until(engine.called, "the connect")
+    over = time.monotonic() + 0.5
+    until(lambda: time.monotonic() > over, "some time")
+    engine.open()
+    assert client.answer()[:2] == (1, 0)
+    told = dict(pair.split("=") for pair in engine.commands[0][2].split(","))
+    assert int(told["patience"]) <= 15000 - 500
+
+
 def test_the_window_for_repeats_ends_while_an_attempt_waits_for_a_connection(started):
     """It was looked at when the attempt was planned, not when it was written."""
     first, second = started.engine(lambda *_: None), started.engine(returns, full=True)
