--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -100,7 +100,7 @@
     """It was told what was left when the attempt was planned, up to a connect too long."""
     engine = started.engine(returns, full=True)
     client = joined(started(member(engine), limits=CONNECT))
-    client.ask(1, "a1", allow="15000")
+    client.ask(1, "a1", "load", allow="15000")
     until(engine.called, "the connect")
     over = time.monotonic() + 0.5
     until(lambda: time.monotonic() > over, "some time")
