An engine is told the time that is left when the attempt is written, not when it was planned

Cause: Query.patience_ms was fixed in Service.dispatch; an attempt that waited for its connection wrote it unchanged, up to a connect time-out (250 ms where 150 ms of slack are allowed) too long. Change: EngineConnection.send takes what is left of the attempt's own timer.

--- a/vanerelay/net/connections.py
+++ b/vanerelay/net/connections.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from typing import Protocol as Interface
 
@@ -228,9 +228,16 @@
         if attempt.query is None:
             self.exchange.order(attempt.ident, attempt.words)
         else:
-            self.exchange.serve(attempt.ident, attempt.query)
+            self.exchange.serve(attempt.ident, self._in_time(attempt, attempt.query))
         self._flush(attempt.ident)
 
+    def _in_time(self, attempt: Attempt, query: Query) -> Query:
+        """The query with the time that is left for the attempt, which may have waited for the connection."""
+        if attempt.timer is None:
+            return query
+        left_ms = int((attempt.timer.getTime() - self._process.reactor.seconds()) * 1000)
+        return replace(query, patience_ms=max(1, min(query.patience_ms, left_ms)))
+
     def drained(self) -> None:
         """All that was handed to the transport has left."""
         self._last = None
