--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -44,6 +44,7 @@
         self.transport: asyncio.Transport | None = None
         self.open: dict[int, Request] = {}
         self._stream, self.over, self.life = 0, False, clients.life()
+        self._rested = False  # whether it has been of use before
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -51,7 +52,8 @@
 
     @property
     def usable(self) -> bool:
-        return self.transport is not None and not self.over and len(self.open) < OPEN_MOST
+        going = self.transport is not None and not self.transport.is_closing()
+        return going and not self.over and len(self.open) < OPEN_MOST
 
     def ask(self, request: Request, service: str, pieces: int = 1) -> None:
         self._stream += 1
@@ -113,6 +115,7 @@
         for _ in range(payload[1]):
             end = at + 1 + payload[at]
             at = end + 2 + int.from_bytes(payload[end : end + 2], "big")
+        self._rested = True
         self._clients.oracle.answered(request.ident, payload[0], payload[at:])
         if self.over and not self.open and self.transport is not None:
             self.transport.close()
@@ -122,7 +125,8 @@
         opened, self.open = list(self.open.values()), {}
         sent = [request for request in opened if request.sent_at]
         for request in sent:
-            request.excuse = request.excuse or self._clients.excuse(request, self.life, sent)
+            request.ended_at = self._clients.now()
+            request.excuse = request.excuse or self._clients.excuse(request, self.life, sent, self._rested)
 
 
 class Clients:
@@ -233,7 +237,7 @@
         for connection in self.connections:
             connection.leave()
 
-    def excuse(self, request: Request, life: int, together: list[Request]) -> str:
+    def excuse(self, request: Request, life: int, together: list[Request], rested: bool) -> str:
         """Why nobody owes an answer to a request whose connection has ended; empty: it is lost."""
         now = self.now()
         if life in self.killed:
@@ -243,6 +247,6 @@
         if self.crowded and not request.attempts:
             return "crowd"
         near = all(now - other.sent_at <= CROSSING_S + self._slack() for other in together)
-        if near and not request.attempts:
+        if near and rested and not request.attempts:
             return "crossed the end of a resting connection"
         return ""
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -43,6 +43,7 @@
     answered_at: float = 0.0
     code: int = -1
     gone_at: float | None = None  # its client cancelled or closed
+    ended_at: float | None = None  # its connection ended without an answer
     excuse: str = ""
     attempts: list[Attempt] = field(default_factory=list)
 
@@ -131,7 +132,8 @@
         self._judge_effect(request, engine, now)
         left = request.sent_at + request.allow_s - now
         if patience_s > max(left, 0.0) + DEADLINE_SLACK_S + self._slack():
-            self.broke("deadline", f"{ident} at {engine}: told {patience_s:.3f} s, {left:.3f} s were left")
+            where = f"{ident} by {request.process} at {engine}"
+            self.broke("deadline", f"{where}: told {patience_s:.3f} s, {left:.3f} s were left")
         if request.attempts:
             self.counts["further attempts"] += 1
             self._further[request.process, request.life].append(now)
@@ -144,7 +146,10 @@
         if request.answers:
             over = min(over or request.answered_at, request.answered_at)
         if over is not None and now > over + LEFT_S + self._slack():
-            self.broke("lost", f"{request.ident} at {engine}: begun {now - over:.3f} s after its client left")
+            late = now - over
+            self.broke(
+                "lost", f"{request.ident} by {request.process} at {engine}: begun {late:.3f} s after its end"
+            )
 
     def _judge_drain(self, request: Request, engine: str, facts: EngineFacts, now: float) -> None:
         if facts.left_at is None:
@@ -181,7 +186,9 @@
         if request.excuse or request.gone_at is not None:
             self.counts[f"excused {request.excuse or 'client left'}"] += 1
         elif not request.answers:
-            self.broke("lost", f"{where}: no answer within {request.allow_s:.3f} s")
+            end = "stays open" if request.ended_at is None else f"ended at {request.ended_at:.3f}"
+            engines = ", ".join(f"{one.engine} at {one.at:.3f}" for one in request.attempts) or "no engine"
+            self.broke("lost", f"{where}: no answer; its connection {end}; reached {engines}")
         elif request.answered_at > request.sent_at + request.allow_s + LATE_S + self._slack():
             over = request.answered_at - request.sent_at - request.allow_s
             self.broke("late", f"{where}: answered {over:.3f} s after its time")
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,81 @@
+"""System calls that fail for a moment, as Linux documents them: nothing taken is lost, nobody crashes."""
+
+from __future__ import annotations
+
+import errno
+import socket
+import threading
+
+from twisted.internet.testing import MemoryReactorClock
+
+from tests.faults import Faults
+from tests.helpers import member, until
+from tests.test_crossings import joined, returns
+from tests.test_drivers import Fleet, Served
+from vanerelay.net.buffers import Pool
+from vanerelay.net.clients import Clients
+from vanerelay.net.ends import Cause, Stage
+
+
+def test_a_start_goes_on_while_no_socket_can_be_had(started, tmp_path):
+    """The program ended with 2, for want of a socket in that moment."""
+    faults, log = Faults(tmp_path / "faults", socket=1.0), tmp_path / "log"
+
+    def mend():
+        until(lambda: log.exists() and "cannot listen yet" in log.read_text(), "the failure")
+        faults.set(socket=0.0)
+
+    mending = threading.Thread(target=mend, daemon=True)
+    mending.start()
+    node = started(member(started.engine(returns)), faults=faults)
+    mending.join()
+    client = joined(node)
+    client.ask(1, "a1")
+    assert client.answer()[:2] == (1, 0)
+
+
+class Failing:
+    """A listening socket whose accept fails as told before it goes on."""
+
+    def __init__(self, listener, faults):
+        self._listener, self._faults = listener, list(faults)
+
+    def accept(self):
+        if self._faults and (fault := self._faults.pop(0)):
+            raise OSError(fault, "injected")
+        return self._listener.accept()
+
+    def __getattr__(self, name):
+        return getattr(self._listener, name)
+
+
+def test_without_a_descriptor_a_client_waits_and_is_not_shut():
+    """Its request may have come already: shut unread it would be lost."""
+    served, reactor = Served(), MemoryReactorClock()
+    clients = Clients(reactor, served.clock, served.service, Pool(), 100, lambda: True)
+    clients.listen("127.0.0.1", 0)
+    port = clients._port
+    address = port.getHost()
+    with socket.create_connection((address.host, address.port)):
+        port.socket = Failing(port.socket, [errno.EMFILE])
+        port.doRead()
+        assert clients.number == 0 and port not in reactor.getReaders()
+        reactor.advance(1.0)
+        assert port in reactor.getReaders()
+        port.doRead()
+        assert clients.number == 1
+    port.stopListening()
+
+
+def test_an_attempt_whose_answer_was_unreadable_ends_once():
+    """Its time-out came before the end of its connection, and met a fault."""
+    fleet = Fleet()
+    attempt = fleet.send("a", time_out=0.5)
+    wire = fleet.connect()
+    wire.leave()
+    fleet.say(b"what is this\r\n" * 3)
+    fleet.reactor.advance(1.0)
+    attempt.give_up(Cause.CANCELLED)
+    assert fleet.ends == [] and wire.aborted
+    fleet.lose()
+    assert fleet.ends == [("a", Cause.UNREADABLE, Stage.WRITTEN)]
