--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -43,10 +43,13 @@
     setTcpKeepAlive = setTcpNoDelay
     bufferSize = 65536
 
+    writes = 0  # times that what was handed over was to leave at once
+
     def doWrite(self):
-        pass
+        self.writes += 1
 
-    doRead = doWrite
+    def doRead(self):
+        pass
 
     def abortConnection(self):
         self.aborted = True
@@ -128,6 +131,18 @@
     assert fleet.ends == [(n, Cause.LOST, s) for n, s in zip("ab", stages, strict=True)]
 
 
+def test_an_attempt_leaves_at_once_and_not_at_the_end_of_a_long_pass():
+    """Until then its client may have left, and the time that it tells be over."""
+    fleet = Fleet()
+    fleet.send("a")
+    wire = fleet.connect()
+    assert wire.writes == 1
+    fleet.send("b")
+    assert wire.writes == 2
+    fleet.reactor.advance(6.0)  # given up: an end that waits for its cancel to leave comes by the pass alone
+    assert wire.writes == 2 and fleet.ends == []
+
+
 def test_a_dispatch_with_a_cancel_behind_it_may_have_left_whole():
     """Only the last command handed over is known not to have: here that is the cancel."""
     fleet = Fleet()
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 
+import pytest
 from twisted.internet.testing import MemoryReactorClock
 
 from tests.faults import Faults
@@ -49,6 +50,29 @@
         return getattr(self._listener, name)
 
 
+@pytest.mark.parametrize(
+    "faults",
+    [
+        (errno.ECONNABORTED, 0, errno.ECONNABORTED, 0, errno.EINTR),
+        (errno.EMFILE, errno.ENFILE, 0, errno.ENOBUFS, errno.ENOMEM),
+        (errno.EPROTO, errno.ENETDOWN, errno.EHOSTUNREACH, errno.ENETUNREACH),
+    ],
+)
+def test_who_waits_when_the_port_closes_is_accepted_though_accept_fails(faults):
+    """The first failure ended the look, and the close reset all that still waited."""
+    served = Served()
+    clients = Clients(MemoryReactorClock(), served.clock, served.service, Pool(), 100, lambda: True)
+    clients.listen("127.0.0.1", 0)
+    port = clients._port
+    address = port.getHost()
+    waiting = [socket.create_connection((address.host, address.port)) for _ in range(5)]
+    port.socket = Failing(port.socket, faults)
+    clients.stop_listening()
+    assert clients.number == len(waiting)
+    for one in waiting:
+        one.close()
+
+
 def test_without_a_descriptor_a_client_waits_and_is_not_shut():
     """Its request may have come already: shut unread it would be lost."""
     served, reactor = Served(), MemoryReactorClock()
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -143,7 +143,11 @@
         click.echo(f"vanerelay: configuration {config}: {type(fault).__name__}: {fault}", err=True)
         sys.exit(2)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(program.reload, config))
-    program.run()
+    try:
+        program.run()
+    except BadStart as fault:
+        click.echo(f"vanerelay: {fault}", err=True)
+        sys.exit(2)
 
 
 @main.command()
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -13,7 +13,6 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol
-from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 from zope.interface import implementer  # type: ignore[import-untyped]
 
@@ -21,6 +20,7 @@
 from vanerelay.net.buffers import Pool
 from vanerelay.net.clock import Clock
 from vanerelay.net.events import EventLog, Kind
+from vanerelay.net.listener import Listener
 from vanerelay.net.sparing import Sparing
 
 IDLE_S = 4.0  # clients close connections idle for this long; one that takes nothing for as long is given up
@@ -269,19 +269,6 @@
             self._leave(asked)
 
 
-class Listener(Port):
-    """Accepts all that wait in each pass. Twisted's own takes few at first, and how long the rest had waited,
-    and what they had sent, would not be known."""
-
-    @property
-    def numberAccepts(self) -> int:
-        return self.backlog
-
-    @numberAccepts.setter
-    def numberAccepts(self, _: int) -> None:
-        pass
-
-
 class Clients(Factory):
     """All client connections, and the port they come through."""
 
@@ -407,7 +394,7 @@
 
     def stop_listening(self) -> None:
         if self._port is not None:
-            self._port.doRead()  # who has come is taken: the close would reset what was not accepted
+            self._port.accept_last()  # the close would reset what was not accepted
             self._port.stopListening()
             self._port = None
 
--- a/vanerelay/net/connections.py
+++ b/vanerelay/net/connections.py
@@ -325,7 +325,9 @@
         if not self._process.warned:
             self._process.warned = True
             log.warning("engine answered what cannot be read", host=self._process.host, why=end.why)
-        self._leaving.append((self.attempts.pop(ident), end))
+        attempt = self.attempts.pop(ident)
+        attempt.connection = None  # its end is on its way: nothing can be given up here any more
+        self._leaving.append((attempt, end))
 
     def _await(self) -> None:
         """Seen on sockets: a message that stopped in its middle held all else on its connection for good."""
@@ -427,3 +429,8 @@
             self._last = last
             self._protocol.transport.writeSequence(self.exchange.out)
             self.exchange.out = []
+            # Twisted alone would wait for the end of its pass: until then its client may have left, its engine
+            # the list, and the time that is told be over. Ends that wait for bytes to leave come by the pass,
+            # as they call the module, which may be in the middle of its own call.
+            if last is not None and not self._leaving:
+                self._protocol.transport.doWrite()
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -27,6 +27,7 @@
 from vanerelay.net.engines import Engines
 from vanerelay.net.events import EventLog
 from vanerelay.net.extensions import guarded
+from vanerelay.net.listener import passes
 from vanerelay.net.peers import Peers
 from vanerelay.net.roster import Roster
 from vanerelay.net.queries import Own
@@ -45,6 +46,8 @@
 PARENT_DEATH = 1  # of prctl: the signal that comes when the parent dies
 SWEEP_S = 1.0
 READY_AGAIN_S = 0.05  # between looks whether batches can be taken
+# How often, and for how long, a port is tried to be opened that the system refuses for a moment.
+LISTEN_AGAIN_S, LISTEN_FOR_S = 0.05, 5.0
 STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
 
 PAGE_BYTES = resource.getpagesize()
@@ -166,8 +169,10 @@
             part.open()
         for part in self._parts:
             part.begin()
+        self._listen_until = reactor.seconds() + LISTEN_FOR_S
+        self._wrong: str | None = None  # found out while running, which ends the program
         try:
-            self.clients.listen(host, int(port), self._kept.listen_fd)
+            self._listen(host, int(port))
             if peers is not None:
                 self._open_peers(peers)
         except (CannotListenError, ValueError, OverflowError) as fault:
@@ -193,6 +198,8 @@
         self.reactor.run()
         self.events.write_counts()
         log.info("ended", broken=self.service.guard.told())
+        if self._wrong is not None:
+            raise BadStart(self._wrong)
 
     def _end_once(self) -> None:
         """SIGTERM may come again while we drain: it says nothing new, and Twisted takes it for a fault."""
@@ -217,14 +224,38 @@
             return
         os.write(descriptor, b"ready\n")
 
+    def _listen(self, host: str, port: int) -> None:
+        """Opens the port for clients, again and again for a while where the system fails for a moment."""
+        try:
+            self.clients.listen(host, port, self._kept.listen_fd)
+        except CannotListenError as fault:
+            if not self._may_listen_again(fault):
+                raise
+            self.reactor.callLater(LISTEN_AGAIN_S, self._listen_again, host, port)
+
+    def _listen_again(self, host: str, port: int) -> None:
+        if self.service.ending:
+            return
+        try:
+            self._listen(host, port)
+        except CannotListenError as fault:
+            self._wrong = f"cannot listen: {fault}"
+            self.reactor.stop()
+
+    def _may_listen_again(self, fault: CannotListenError) -> bool:
+        if not passes(fault) or self.reactor.seconds() >= self._listen_until:
+            return False
+        log.warning("cannot listen yet", why=str(fault))
+        return True
+
     def _open_peers(self, peers: Peers) -> None:
         """While a manager of before still listens there, a kept one waits for it."""
         try:
             peers.open(self.reactor)
-        except CannotListenError:
-            if self._kept.listen_fd is None:
+        except CannotListenError as fault:
+            if self._kept.listen_fd is None and not self._may_listen_again(fault):
                 raise
-            self.reactor.callLater(READY_AGAIN_S, self._open_peers, peers)
+            self.reactor.callLater(LISTEN_AGAIN_S, self._open_peers, peers)
 
     def reload(self, path: str) -> None:
         """SIGHUP: the feed may have moved, and other settings may hold from now on. A wrong configuration
