A client kept waiting by a failing accept has its time counted from then; news of starts may be 3 s late

Clients.came_after now tells the last moment before the first failure.

Only past 3 s a start now counts as contradicted.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -191,9 +191,11 @@
 
     async def pause(self, span: float) -> None:
         if not self.busy:
+            began = time.monotonic()
             self.signal(signal.SIGSTOP)
             await asyncio.sleep(span)
             self.signal(signal.SIGCONT)
+            self._oracle.story.append(f"{began:9.3f} {self.name} stands still until {time.monotonic():.3f}")
 
     async def end(self) -> None:
         """The end of the run: it has to end by itself after SIGTERM, with nothing left to answer."""
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -82,14 +82,14 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         # What the client sent before it was accepted was there while nobody looked at its socket.
-        self._may_be_older(self._clients.clock.looked)
+        self._may_be_older(self._clients.came_after())
         # The transport says when its buffer is over its size; nothing more is read until it has drained.
         self.transport.registerProducer(self, True)
         if not self._clients.joined(self):
             self.end("no descriptor is left")
 
     def dataReceived(self, data: bytes) -> None:
-        since = self._since()
+        since = self.since()
         if len(data) >= self.transport.bufferSize:
             # A read that took as much as it may has left more behind, that had come as early.
             self._may_be_older(since)
@@ -103,7 +103,7 @@
     def _may_be_older(self, since: int) -> None:
         self._earlier, self._until_pass = since, self._clients.clock.passes + 1
 
-    def _since(self) -> int:
+    def since(self) -> int:
         """The last moment at which what is read now had not come."""
         clock = self._clients.clock
         return self._earlier if clock.passes <= self._until_pass else clock.looked
@@ -293,6 +293,7 @@
             OrderedDict()
         )  # ended on our side, oldest first
         self._port: Any = None
+        self._kept_waiting_since: int | None = None
         # Those that owe something whole, the first to be overdue first.
         self._owing: OrderedDict[ClientConnection, float] = OrderedDict()
         self.refused = Sparing(reactor, "client does not keep to the protocol")
@@ -350,6 +351,24 @@
         idle.end("idle, and others want its descriptor")
         return True
 
+    def accept_failed(self) -> None:
+        """Somebody may wait to be accepted from now on, and send meanwhile."""
+        if self._kept_waiting_since is None:
+            self._kept_waiting_since = self.clock.looked
+
+    def nobody_waits(self) -> None:
+        """All that waited were accepted."""
+        self._kept_waiting_since = None
+
+    def came_after(self) -> int:
+        """The last moment at which a client that is accepted now had not come."""
+        since = self._kept_waiting_since
+        return self.clock.looked if since is None else min(since, self.clock.looked)
+
+    def all(self) -> list[ClientConnection]:
+        """The connections, the longest unused first."""
+        return list(self._all)
+
     def lingers(self, connection: ClientConnection) -> None:
         """Its end was told; it holds its descriptor until the client's own end comes."""
         self._all.pop(connection, None)
--- a/vanerelay/net/connections.py
+++ b/vanerelay/net/connections.py
@@ -429,8 +429,8 @@
             self._last = last
             self._protocol.transport.writeSequence(self.exchange.out)
             self.exchange.out = []
-            # Twisted alone would wait for the end of its pass: until then its client may have left, its engine
-            # the list, and the time that is told be over. Ends that wait for bytes to leave come by the pass,
-            # as they call the module, which may be in the middle of its own call.
+            # Twisted alone would wait for the end of its pass: until then the client may have left, the
+            # engine the list, and the time that is told be over. Ends that wait for bytes to leave come by
+            # the pass, as they call the module, which may be in the middle of its own call.
             if last is not None and not self._leaving:
                 self._protocol.transport.doWrite()
--- a/vanerelay/net/listener.py
+++ b/vanerelay/net/listener.py
@@ -14,7 +14,7 @@
 NOTHING_WAITS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK})
 # A socket that could not be had for one of these may be had a moment later.
 FOR_A_MOMENT = SHORT_OF | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR}
-REST_S = 0.05  # until accepting is tried again
+REST_S = 0.02  # until accepting is tried again
 LAST_TRIES = 64  # failures that are borne when the port is about to close
 
 
@@ -27,6 +27,7 @@
     """Accepts all that wait in each pass. Twisted's own takes few at first, so that how long the rest had
     waited would not be known; short of a descriptor it shuts a client unread; one failure ends its look."""
 
+    factory: Any  # the Clients
     _resting: Any = None
 
     def doRead(self) -> None:
@@ -59,17 +60,18 @@
                 accepted, address = self.socket.accept()
             except OSError as fault:
                 if fault.errno in NOTHING_WAITS:
+                    self.factory.nobody_waits()
                     return None
                 if fault.errno in SHORT_OF:
+                    self.factory.accept_failed()
                     return fault.errno
                 continue  # of one connection, which is no more: the next may be sound
             self._join(accepted, address)
         return None
 
     def _join(self, accepted: socket.socket, address: tuple[str, int]) -> None:
-        factory: Any = self.factory
         peer = self._buildAddr(address)  # type: ignore[no-untyped-call]
-        protocol: Any = factory.buildProtocol(peer)
+        protocol: Any = self.factory.buildProtocol(peer)
         number, self.sessionno = self.sessionno, self.sessionno + 1
         transport: Any = self.transport(accepted, protocol, address, self, number, self.reactor)
         protocol.makeConnection(transport)
--- a/vanerelay/net/starts.py
+++ b/vanerelay/net/starts.py
@@ -5,6 +5,9 @@
 from vanerelay.net.clock import UNITS, Clock
 
 
+LEARNED_S = 3.0  # from an engine's start until its source knows of it; one second is usual
+
+
 class EngineStarts:
     """The starts told of engines, by the engines' indices."""
 
@@ -16,8 +19,8 @@
         """The start on the module's clock; 0 where it was long ago.
 
         `told`: tenths of a millisecond on the Unix clock, 0 for long ago. `within_s`: the span before now in
-        which the start must lie, as its source did not know of it earlier. Where the wall clock says
-        otherwise it can't be trusted, and the engine counts as started now.
+        which its source learned of the start. Where the wall clock puts the start long before that, it can't
+        be trusted, and the engine counts as started now.
         """
         if told == 0:
             self._moments.pop(engine, None)
@@ -25,7 +28,7 @@
         before, moment = self._moments.get(engine, (0, 0))
         if before != told:
             now, moment = self._clock.now(), self._clock.moment(told)
-            if within_s is not None and moment < now - within_s * UNITS:
+            if within_s is not None and moment < now - (within_s + LEARNED_S) * UNITS:
                 moment = now
             self._moments[engine] = told, moment
         return moment
