--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -52,6 +52,7 @@
     def __init__(self, plan: Schedule, folder: Path) -> None:
         self._plan, self._chance, self._folder = plan, random.Random(plan.seed), folder
         self._lags = deque[tuple[float, float]]()
+        self._looked_at = time.monotonic()
         self._worst_lag = 0.0
         rules = Rules(
             window_s=processes.WINDOW_S,
@@ -86,13 +87,14 @@
 
     def _slack(self) -> float:
         """How late this host may have been to look."""
-        return 0.02 + max((lag for _, lag in self._lags), default=0.0)
+        going_on = time.monotonic() - self._looked_at - LAG_TICK_S
+        return 0.02 + max(going_on, max((lag for _, lag in self._lags), default=0.0))
 
     async def _measure_lag(self) -> None:
         while True:
             began = time.monotonic()
             await asyncio.sleep(LAG_TICK_S)
-            now = time.monotonic()
+            now = self._looked_at = time.monotonic()
             lag = now - began - LAG_TICK_S
             self._worst_lag = max(self._worst_lag, lag)
             self._lags.append((now, lag))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.helpers import SERVICES, Engine, Feed, Node, member, ref, reset, stand_still, until
+from tests.helpers import LONG, SERVICES, Engine, Feed, Node, member, ref, reset, stand_still, until
 
 CONNECT = {"dialTimeoutUs": 20_000_000}  # longer than a test takes: the connect is let through before
 LEAVE, READY, READINESS = 8, 16, 32
@@ -315,6 +315,20 @@
     assert node.log.read_text().count("feed fails") == 1
 
 
+def test_several_signals_to_end_that_come_in_one_pass_are_one(started):
+    """The second stopped a reactor that was stopped already, and met a fault."""
+    node = started(member(started.engine(returns)))
+    joined(node)
+
+    def signals():
+        for number in (signal.SIGTERM, signal.SIGINT):
+            node.process.send_signal(number)
+
+    stand_still(node, signals, 0.1)
+    assert node.process.wait(LONG) == 0
+    assert "Traceback" not in node.log.read_text()
+
+
 def test_a_feed_that_answers_at_once_without_news_is_not_asked_in_a_storm(started):
     feed = Feed()
     node = started(member(started.engine(returns)), feed=feed)
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import time
 
@@ -42,6 +43,19 @@
     assert one.served() == [] and len(two.served()) == 20
 
 
+def test_lines_of_the_log_keep_their_order_though_the_clock_is_stepped(started, faults):
+    """In the incident they could not be put in order: their time is the wall clock's."""
+    node = started(member(started.engine(returns)), faults=faults)
+    for span in STEPS:
+        faults.step(span)
+        joined(node).send(b"\0\0\0\0")
+    node.process.send_signal(signal.SIGTERM)
+    assert node.process.wait(LONG) == 0
+    lines = [json.loads(line) for line in node.log.read_text().splitlines()]
+    told = [line["up_s"] for line in lines]
+    assert len(told) >= 4 and told == sorted(told) and told[-1] < 2 * LONG
+
+
 def test_steps_forward_do_not_renew_the_retry_budget(started, faults):
     """Rule 7: each step emptied the window that further attempts are counted in."""
     engine = started.engine(lambda e, c, i: e.say(c, i, "ERR"))
--- a/vanerelay/cli.py
+++ b/vanerelay/cli.py
@@ -6,6 +6,8 @@
 import logging
 import signal
 import sys
+import time
+from collections.abc import MutableMapping
 from typing import Any
 
 import click
@@ -18,9 +20,17 @@
 
 
 def log_to(level: str) -> None:
+    started_at = time.monotonic()
+
+    def add_uptime(logger: Any, method: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+        """The order of lines, and the spans between them, where the wall clock was stepped."""
+        event["up_s"] = round(time.monotonic() - started_at, 4)
+        return event
+
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
+            add_uptime,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
