Signals to end are one, however many come in a pass; SIGINT ends in order as SIGTERM does

Cause: Program._terminate asked whether the drain had begun, which the reactor starts a step later, so a second signal in the same pass stopped a reactor that was stopped. Now it remembers.

--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -171,6 +171,7 @@
             part.begin()
         self._listen_until = reactor.seconds() + LISTEN_FOR_S
         self._wrong: str | None = None  # found out while running, which ends the program
+        self._terminated = False
         try:
             self._listen(host, int(port))
             if peers is not None:
@@ -202,11 +203,14 @@
             raise BadStart(self._wrong)
 
     def _end_once(self) -> None:
-        """SIGTERM may come again while we drain: it says nothing new, and Twisted takes it for a fault."""
-        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self._terminate))
+        """A signal to end may come again, also in the same pass: it says nothing new, and Twisted takes it
+        for a fault."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.reactor.callFromThread(self._terminate))
 
     def _terminate(self) -> None:
-        if not self.service.ending:
+        if not self._terminated:
+            self._terminated = True
             self.reactor.stop()
 
     def _end_with_keeper(self) -> None:
@@ -216,7 +220,7 @@
         parent = os.getppid()
         ctypes.CDLL(None, use_errno=True).prctl(PARENT_DEATH, signal.SIGTERM, 0, 0, 0)
         if os.getppid() != parent:  # it had died already
-            self.reactor.callWhenRunning(self.reactor.stop)
+            self.reactor.callWhenRunning(self._terminate)
 
     def _say_ready(self, descriptor: int) -> None:
         if not self.service.ready():
@@ -240,7 +244,7 @@
             self._listen(host, port)
         except CannotListenError as fault:
             self._wrong = f"cannot listen: {fault}"
-            self.reactor.stop()
+            self._terminate()
 
     def _may_listen_again(self, fault: CannotListenError) -> bool:
         if not passes(fault) or self.reactor.seconds() >= self._listen_until:
