--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -10,8 +10,8 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from tests.faults import Faults
-from tests.helpers import member, until
-from tests.test_crossings import joined, returns
+from tests.helpers import member, stand_still, until
+from tests.test_crossings import cancels, closes, joined, returns, settle
 from tests.test_drivers import Fleet, Served
 from vanerelay.net.buffers import Pool
 from vanerelay.net.clients import Clients
@@ -35,6 +35,25 @@
     assert client.answer()[:2] == (1, 0)
 
 
+@pytest.mark.parametrize("leaves", [cancels, closes])
+def test_a_client_that_left_is_noticed_though_reads_are_short(started, tmp_path, leaves):
+    """Its query was read in pieces, and began before the rest, which told that it had left."""
+    faults, engine = Faults(tmp_path / "faults"), started.engine(returns)
+    node = started(member(engine), faults=faults)
+    client, other = joined(node), joined(node)
+
+    def meanwhile():
+        client.ask(1, "a1")
+        leaves(client)
+        faults.set(short=1.0)
+
+    stand_still(node, meanwhile, 0.1)
+    settle(other)
+    faults.set(short=0.0)
+    other.ask(1, "b1")
+    assert other.answer()[:2] == (1, 0) and engine.served() == ["b1"]
+
+
 class Failing:
     """A listening socket whose accept fails as told before it goes on."""
 
