--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -41,6 +41,8 @@
     faults, engine = Faults(tmp_path / "faults"), started.engine(returns)
     node = started(member(engine), faults=faults)
     client, other = joined(node), joined(node)
+    other.ask(1, "b1")
+    assert other.answer()[:2] == (1, 0)  # there is a connection to the engine, over which all goes at once
 
     def meanwhile():
         client.ask(1, "a1")
@@ -50,8 +52,8 @@
     stand_still(node, meanwhile, 0.1)
     settle(other)
     faults.set(short=0.0)
-    other.ask(1, "b1")
-    assert other.answer()[:2] == (1, 0) and engine.served() == ["b1"]
+    other.ask(2, "b2")
+    assert other.answer()[:2] == (2, 0) and engine.served() == ["b1", "b2"]
 
 
 class Failing:
