--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -91,11 +91,14 @@
     def dataReceived(self, data: bytes) -> None:
         since = self.since()
         if len(data) >= self.transport.bufferSize:
-            # A read that took as much as it may has left more behind, that had come as early.
-            self._may_be_older(since)
+            self.left_behind()
         self._read(data, since)
         self._owe()
 
+    def left_behind(self) -> None:
+        """A look that took as much as it may has left more behind, that had come as early."""
+        self._may_be_older(self.since())
+
     def _owe(self) -> None:
         waits = self.silent or self._reader.partial
         self._clients.owes(self, waits and not self._deaf)
--- a/vanerelay/net/listener.py
+++ b/vanerelay/net/listener.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from twisted.internet.error import CannotListenError
-from twisted.internet.tcp import Port
+from twisted.internet.main import CONNECTION_LOST
+from twisted.internet.tcp import Port, Server
 
 # Nothing can be accepted for want of something that others may let go of. Whoever waits goes on waiting.
 SHORT_OF = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
@@ -23,11 +24,34 @@
     return isinstance(fault.socketError, OSError) and fault.socketError.errno in FOR_A_MOMENT
 
 
+class ClientTransport(Server):
+    """Reads all that has come at each look, up to a bound: a read may be short, and what a client asked and
+    that it left may lie one behind the other."""
+
+    def doRead(self) -> Any:
+        left = self.bufferSize
+        while left > 0:
+            try:
+                data = self.socket.recv(self.bufferSize)
+            except OSError as fault:
+                if fault.errno == errno.EINTR:
+                    continue
+                return None if fault.errno in NOTHING_WAITS else CONNECTION_LOST
+            ended = self._dataReceived(data)
+            if ended is not None or self.disconnected:
+                return ended
+            left -= len(data)
+        if left <= 0:
+            self.protocol.left_behind()
+        return None
+
+
 class Listener(Port):
     """Accepts all that wait in each pass. Twisted's own takes few at first, so that how long the rest had
     waited would not be known; short of a descriptor it shuts a client unread; one failure ends its look."""
 
     factory: Any  # the Clients
+    transport = ClientTransport
     _resting: Any = None
 
     def doRead(self) -> None:
