--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -5,6 +5,7 @@
 import errno
 import socket
 import threading
+import time
 
 import pytest
 from twisted.internet.testing import MemoryReactorClock
@@ -56,6 +57,27 @@
     assert other.answer()[:2] == (2, 0) and engine.served() == ["b1", "b2"]
 
 
+@pytest.mark.parametrize("leaves", [cancels, closes])
+def test_a_client_that_left_before_it_could_be_accepted_gets_no_attempt(started, tmp_path, leaves):
+    """Its query was read long after it had come, and began before the rest was read."""
+    faults, engine = Faults(tmp_path / "faults"), started.engine(returns)
+    node = started(member(engine), faults=faults)
+    other = joined(node)
+    other.ask(1, "b1")
+    assert other.answer()[:2] == (1, 0)
+    faults.set(accept=1.0)
+    client = node.client()
+    client.ask(1, "a1")
+    over = time.monotonic() + 0.2
+    until(lambda: time.monotonic() > over, "some time")
+    leaves(client)
+    settle(other)
+    faults.set(accept=0.0)
+    joined(node)  # accepted after it, and heard
+    other.ask(2, "b2")
+    assert other.answer()[:2] == (2, 0) and engine.served() == ["b1", "b2"]
+
+
 class Failing:
     """A listening socket whose accept fails as told before it goes on."""
 
