--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -898,7 +898,7 @@
     served = Served()
     told = "queue:3;x0:0.4;inflight:7;x1:x;new:1"
     from vanerelay import terms
-    from vanerelay.net import service
+    from vanerelay.net import reports
 
-    report = terms.load_report(served.service._reported, service._report(told))
+    report = terms.load_report(served.service._reported, reports.loads(told))
     assert (report.waiting, report.memory_granted, report.running, report.disks_busy) == (3.0, 0.4, 7.0, None)
--- a/vanerelay/holding.py
+++ b/vanerelay/holding.py
@@ -1,4 +1,4 @@
-"""What a gateway process remembers of the batches it holds and of the names it meets, on either wire."""
+"""What a gateway process remembers of the queries it holds and of the names it meets, on either wire."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class Held:
-    """A batch as its wire names it, its handle, and what is still to come for it."""
+    """A query as its wire names it, its handle, and what is still to come for it."""
 
     __slots__ = ("batch", "ended", "index", "name", "out")
 
@@ -23,7 +23,7 @@
 
 
 class Holding(Generic[H]):
-    """All batches held, by a small index that is used again once nothing more can come for its batch."""
+    """All queries held, by a small index that is used again once nothing more can come for its query."""
 
     def __init__(self) -> None:
         self._held: list[H | None] = []
@@ -50,7 +50,7 @@
         return [held for held in self._held if held is not None]
 
     def settle(self, held: H) -> bool:
-        """Lets go of a batch that was answered and has no dispatch out; whether it did."""
+        """Lets go of a query that was answered and has no attempt out; whether it did."""
         if not held.ended or held.out > 0 or held.index < 0:
             return False
         self._held[held.index] = None
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -150,7 +150,7 @@
 
     def refuse(self, why: str) -> None:
         """Ends the connection of a client that does not keep to the protocol: an error for it and for each
-        batch open, which nothing is done for any more. The rest cannot be told apart, and is not read."""
+        query open, which nothing is done for any more. The rest cannot be told apart, and is not read."""
         if self._deaf:
             return
         self._deaf = True
--- a/vanerelay/net/connections.py
+++ b/vanerelay/net/connections.py
@@ -73,7 +73,7 @@
 
 
 class Attempt:
-    """One dispatch on its way. `done` fires once, with its End; it never fails."""
+    """One attempt on its way. `done` fires once, with its End; it never fails."""
 
     __slots__ = (
         "begun",
@@ -170,8 +170,8 @@
 class EngineConnection:
     """One connection to an engine, from the first call on: attempts wait here until it is up.
 
-    A dispatch given up is out at its engine until it is abandoned: by a cancel, or where none is allowed by
-    the end of its connection. Its end is told only once that has left, or the batch's next dispatch could
+    An attempt given up is out at its engine until it is abandoned: by a cancel, or where none is allowed by
+    the end of its connection. Its end is told only once that has left, or the query's next attempt could
     reach another engine first: a second copy.
     """
 
@@ -180,7 +180,7 @@
         self.exchange = Exchange(process.pool, process.settings.most, process.settings.may_cancel)
         self.waiting: deque[Attempt] = deque()
         self.attempts: dict[bytes, Attempt] = {}
-        self._last: bytes | None = None  # its dispatch was handed over last and is not known to have left
+        self._last: bytes | None = None  # its attempt was handed over last and is not known to have left
         self._leaving: list[tuple[Attempt, End]] = []  # given up, and the word of it not known to have left
         self._awaited: tuple[int, int] | None = None  # what was begun when the patience with it began
         self._patience: Any = None
--- a/vanerelay/net/ends.py
+++ b/vanerelay/net/ends.py
@@ -42,7 +42,7 @@
 
 
 # What is not proved never to have run is not said not to have run. An answer whose pages are missing was
-# given by an engine that ran the batch, whatever comes after.
+# given by an engine that ran the query, whatever comes after.
 OUTCOMES: dict[tuple[Cause, Stage], Outcome] = {
     (Cause.OK, Stage.WHOLE): Outcome.RETURNED,
     (Cause.BUSY, Stage.WRITTEN): Outcome.PUSHED_BACK,
--- a/vanerelay/net/engines.py
+++ b/vanerelay/net/engines.py
@@ -23,8 +23,8 @@
     """One engine process at its address, and its connections.
 
     What befalls a connection befalls all that is open on it, and each costs time to read from: so there are
-    as many as dispatches on each, the emptiest taken first, as long as the engine's part of the descriptors
-    lasts. A connection for every dispatch took twice the CPU, and at 900 batches a second all there was.
+    as many as attempts on each, the emptiest taken first, as long as the engine's part of the descriptors
+    lasts. A connection for every attempt took twice the CPU, and at 900 queries a second all there was.
     """
 
     def __init__(
@@ -159,7 +159,7 @@
         connection.send(attempt)
 
     def order(self, engine: int, words: Sequence[bytes], ident: bytes, patience_s: float) -> Deferred[End]:
-        """A command that is no batch, answered under `ident`. The Deferred never fails."""
+        """A command that is no query, answered under `ident`. The Deferred never fails."""
         attempt = Attempt(ident, None, [], words)
         self.send(engine, attempt, patience_s)
         return attempt.done
--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -40,12 +40,12 @@
 # counts what comes within 0.7 s.
 CONNECTIONS_S, REQUESTS_S = 0.5, 0.7
 LITTLE = 10_000  # objects made since the last collection that make one worth while
-FEW = 300  # batches open at most for one that costs little
+FEW = 300  # queries open at most for one that costs little
 STOOD_STILL_S = 0.05  # as much as the page adds to each time limit on sockets
 CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
 PARENT_DEATH = 1  # of prctl: the signal that comes when the parent dies
 SWEEP_S = 1.0
-READY_AGAIN_S = 0.05  # between looks whether batches can be taken
+READY_AGAIN_S = 0.05  # between looks whether queries can be taken
 # How often, and for how long, a port is tried to be opened that the system refuses for a moment.
 LISTEN_AGAIN_S, LISTEN_FOR_S = 0.05, 5.0
 STATEMENT_SHARE = 4  # statements held fill at most one part in so many of the memory told
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """What a keeper hands down: a socket that listens, and where to tell that batches are taken."""
+    """What a keeper hands down: a socket that listens, and where to tell that queries are taken."""
 
     listen_fd: int | None = None
     ready_fd: int | None = None
@@ -184,8 +184,8 @@
         self._sweep()
         self.reactor.addSystemEventTrigger("before", "shutdown", self._drain)
         log.info("serving")
-        # Collections of their own accord took up to 60 ms with thousands of batches held, in the middle of a
-        # pass. A batch leaves no cycles behind, so there is little to collect: _sweep does it now and then.
+        # Collections of their own accord took up to 60 ms with thousands of queries held, in the middle of a
+        # pass. A query leaves no cycles behind, so there is little to collect: _sweep does it now and then.
         gc.collect()
         gc.freeze()
         gc.disable()
@@ -288,7 +288,7 @@
         late = self.reactor.latest()
         if late > STOOD_STILL_S:
             log.warning("stood still", ms=round(late * 1000))
-        # With thousands of batches open a collection costs what it is to spare them: over 100 ms under
+        # With thousands of queries open a collection costs what it is to spare them: over 100 ms under
         # overload. With few it costs little, and a long day that never stands idle needs it: what a
         # connection leaves behind are cycles.
         short = gc.get_count()[0] > LITTLE and self._memory_short()
--- a/vanerelay/net/queries.py
+++ b/vanerelay/net/queries.py
@@ -21,7 +21,7 @@
 
 
 class Request(Held):
-    """A batch on the sockets: who waits for it, and what goes to an engine."""
+    """A query on the sockets: who waits for it, and what goes to an engine."""
 
     __slots__ = (
         "arrival",
@@ -35,6 +35,7 @@
         "limit",
         "outcome",
         "priority",
+        "read_in",
         "record",
         "service",
         "since",
@@ -53,6 +54,7 @@
     ) -> None:
         super().__init__(asked.reference)
         self.since = since
+        self.read_in = -1  # the pass of the event loop in which it was read; -1: no client brought it
         self.service, self.client, self.stream = service, client, stream
         self.group, self.limit, self.body = asked.service_class.encode(), limit, asked.body
         self.idempotency_key = asked.idempotency_key
@@ -94,7 +96,7 @@
 
 
 class Inner:
-    """Who waits for a batch of ours: in the place of a client's connection."""
+    """Who waits for a query of ours: in the place of a client's connection."""
 
     def __init__(self) -> None:
         self.done, self.open = Deferred[int](), dict[int, Request]()
@@ -104,7 +106,7 @@
 
 
 class Own:
-    """A batch of ours, as subsystems hold it."""
+    """A query of ours, as subsystems hold it."""
 
     def __init__(self, held: Request, done: Deferred[int]) -> None:
         self._held, self.done = held, done
--- a/vanerelay/net/service.py
+++ b/vanerelay/net/service.py
@@ -14,9 +14,9 @@
 from vanerelay.holding import Holding, Names
 from vanerelay.interface import Arrival, AttemptResult, EngineState, Outcome
 from vanerelay.measure import scatter
-from vanerelay.net import ends, feed, frames, requests
+from vanerelay.net import ends, feed, frames, reports, requests
 from vanerelay.net.clients import ClientConnection, Taken
-from vanerelay.net.clock import UNITS, Clock
+from vanerelay.net.clock import FRESH, UNITS, Clock
 from vanerelay.net.ends import Cause, End, Stage
 from vanerelay.net.connections import Attempt
 from vanerelay.net.deadlines import Deadlines
@@ -35,10 +35,6 @@
 log = structlog.get_logger()
 
 ALLOW_MOST = 2  # times its service group's time limit: the longest that a client can mean to wait
-LOADS = ("inflight", "queue", "util", "latency_ms", "qps", "eps")  # the page's words for reported values
-REPORTED = dict(
-    zip(LOADS, ("busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps"), strict=True)
-)
 
 
 class Service:
@@ -54,10 +50,10 @@
         room: int,
         events: EventLog | None = None,
     ) -> None:
-        """`room`: bytes that the statements of open batches may take together."""
+        """`room`: bytes that the statements of open queries may take together."""
         self.events = events or EventLog(reactor)
         self._reactor, self._clock, self._engines, self._peers = reactor, clock, engines, peers
-        self._refs = set[str]()  # of the batches open: an engine takes two under one for the same
+        self._refs = set[str]()  # of the queries open: an engine takes two under one for the same
         self._met = References(clock.now())
         self.guard = Guard(terms.guard_terms(profile))
         self._read(profile)
@@ -88,7 +84,7 @@
         self._reported = terms.report_names(profile)
 
     def open_gateway(self, seed: int, profile: dict[str, Any]) -> None:
-        """Under these settings from now on. Batches taken before end under the settings of then."""
+        """Under these settings from now on. Queries taken before end under the settings of then."""
         self.now, old = self._clock.now(), self._gateway
         gateway = terms.open_gateway(self, seed, profile)
         if old is not None:
@@ -121,7 +117,7 @@
         return self._listed and self._gateway is not None and not self.ending
 
     def request(self, client: ClientConnection, frame: frames.Frame, since: int) -> Request | Taken:
-        """Takes a batch, unless it was answered on the spot. Nothing of it had come before `since`.
+        """Takes a query, unless it was answered on the spot. Nothing of it had come before `since`.
 
         What an engine could not use is not passed on: it closes on what it cannot read, with all else that is
         open there, and its errors would be held against it.
@@ -147,6 +143,7 @@
             client.answer(frame.stream, frames.ERRORED, {"why": guide}, b"")
             return Taken.ANSWERED
         held = Request(self, client, frame.stream, asked, limit, since)
+        held.read_in = self._clock.passes
         self._hold(held)
         client.open[frame.stream] = held
         held.guide = guide
@@ -198,7 +195,7 @@
     def own(
         self, name: str, group: str, statement: str, engine: int, memory: float, lasts: int
     ) -> Own | None:
-        """A batch of ours at one engine, under a reference that no other bears; None where it can't be
+        """A query of ours at one engine, under a reference that no other bears; None where it can't be
         taken."""
         self.now, row = self._clock.now(), self._groups.get(group)
         body = statement.encode()
@@ -236,7 +233,7 @@
         self._call(held, take)
 
     def led(self, held: Request, engines: frozenset[int] | None) -> None:
-        """Who leads a batch says which engines may serve it: the module has it from now on."""
+        """Who leads a query says which engines may serve it: the module has it from now on."""
         if held.ended or held.arrival is None:
             return
         held.arrival.among = engines
@@ -333,7 +330,7 @@
                 outcome = Outcome.RETURNED if fields is not None else Outcome.SPOILT
             else:
                 guarded(held.guide.missed, engine, outcome)
-        work = round(_told(end.told, "elapsed") * 10)
+        work = round(reports.told(end.told, "elapsed") * 10)
         if held.record is not None:
             self.guard.attempt_ended(held.record, number, outcome, work)
         if outcome is Outcome.RETURNED and not held.ended:
@@ -341,8 +338,8 @@
                 self._learn(held, engine, end)
             self._answer(held, frames.RETURNED, fields or {}, end.rows)
         if held.batch is not None:
-            memory = _told(end.told, "rss")
-            report = terms.load_report(self._reported, _report(end.told.get("l", "")))
+            memory = reports.told(end.told, "rss")
+            report = terms.load_report(self._reported, reports.loads(end.told.get("l", "")))
             result = AttemptResult(outcome, self._clock.now() - sent, work, memory, report)
             self._call(held, held.batch.ended, number, result, held.ended)
         self._settle(held)
@@ -354,13 +351,13 @@
             tables,
             writes(held.body),
             engine,
-            round(_told(end.told, "elapsed") * 10),
+            round(reports.told(end.told, "elapsed") * 10),
             isinstance(held.client, Inner),
         )
         self._extensions.ran(ran)
 
     def _accepted(self, guide: Guide, engine: int, told: dict[str, str]) -> dict[str, str] | None:
-        """What goes with an answer; None where who leads the batch does not take it for one."""
+        """What goes with an answer; None where who leads the query does not take it for one."""
         try:
             return guide.fields() if guide.accepts(engine, told) else None
         except Exception:
@@ -377,7 +374,7 @@
     # Bookkeeping.
 
     def _call(self, held: Request | None, method: Callable[..., None], *values: Any) -> bool:
-        """Calls the module. A fault in it is logged, and the batch at hand is answered all the same."""
+        """Calls the module. A fault in it is logged, and the query at hand is answered all the same."""
         self.now = self._clock.now()
         try:
             method(*values)
@@ -396,12 +393,12 @@
         self.open -= 1
         self._refs.discard(held.name)
         self._room += len(held.body)
-        held.body = b""  # no dispatch follows
+        held.body = b""  # no attempt follows
         if held.guide is not None:
             guarded(held.guide.over)
 
     def _count(self, held: Request, code: int, heard: bool = True) -> None:
-        """Tells what became of a batch; `heard`: whether its client still waited."""
+        """Tells what became of a query; `heard`: whether its client still waited."""
         if not self._extensions.counts or isinstance(held.client, Inner):
             return
         goal, late = self._worth.get(held.group, (0, 0.0))
@@ -468,12 +465,17 @@
             )
         if held.ended or wait <= 0 or number >= self._most_dispatches:
             self._reactor.callLater(0, attempt.end, End(Cause.OVER, Stage.NOT_CONNECTED))
-        elif self._clock.fresh:
+        elif self._clock.fresh and not self._may_have_left(held):
             self._begin(held, attempt, engine, wait)
         else:
             until = self.now + wait
             self._clock.after_look(lambda: self._begin_late(held, number, attempt, engine, until))
 
+    def _may_have_left(self, held: Request) -> bool:
+        """Whether it was read by this very look, long after it may have come: what came behind it is read by
+        the end of the look, and may tell that its client has left."""
+        return held.read_in == self._clock.passes and self.now - held.since > FRESH
+
     def _begin(self, held: Request, attempt: Attempt, engine: int, wait: int) -> None:
         if held.guide is not None:
             guarded(held.guide.sent, engine)
@@ -563,18 +565,3 @@
 
     def log(self, text: str) -> None:
         log.info(text)
-
-
-def _told(told: dict[str, str], name: str) -> float:
-    return requests.figure(told, name) or 0.0
-
-
-def _report(text: str) -> dict[str, float]:
-    values = {}
-    for pair in text.split(";"):
-        name, _, value = pair.partition(":")
-        try:
-            values[REPORTED.get(name, name)] = float(value)
-        except ValueError:
-            continue
-    return values
