--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -329,6 +329,16 @@
     assert "Traceback" not in node.log.read_text()
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_signals_until_the_very_end_change_nothing(started, number):
+    """Once the interpreter took its handlers down, the next one ended the process by itself."""
+    node = started(member(started.engine(returns)))
+    joined(node)
+    node.process.send_signal(signal.SIGTERM)
+    until(lambda: node.process.send_signal(number) or node.process.poll() is not None, "the end", 0.0005)
+    assert node.process.returncode == 0
+
+
 def test_a_feed_that_answers_at_once_without_news_is_not_asked_in_a_storm(started):
     feed = Feed()
     node = started(member(started.engine(returns)), feed=feed)
