--- a/vanerelay/net/program.py
+++ b/vanerelay/net/program.py
@@ -43,6 +43,7 @@
 FEW = 300  # queries open at most for one that costs little
 STOOD_STILL_S = 0.05  # as much as the page adds to each time limit on sockets
 CLIENT_SHARE, OWN = 3, 16  # clients hold one part in three of the descriptors; the program itself a few
+TO_END = (signal.SIGTERM, signal.SIGINT)  # signals that end the program in order
 PARENT_DEATH = 1  # of prctl: the signal that comes when the parent dies
 SWEEP_S = 1.0
 READY_AGAIN_S = 0.05  # between looks whether queries can be taken
@@ -197,6 +198,8 @@
         if self._kept.ready_fd is not None:
             self.reactor.callWhenRunning(self._say_ready, self._kept.ready_fd)
         self.reactor.run()
+        for number in (signal.SIGHUP, *TO_END):  # the interpreter takes handlers down, but not this
+            signal.signal(number, signal.SIG_IGN)
         self.events.write_counts()
         log.info("ended", broken=self.service.guard.told())
         if self._wrong is not None:
@@ -205,7 +208,7 @@
     def _end_once(self) -> None:
         """A signal to end may come again, also in the same pass: it says nothing new, and Twisted takes it
         for a fault."""
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in TO_END:
             signal.signal(number, lambda *_: self.reactor.callFromThread(self._terminate))
 
     def _terminate(self) -> None:
