What the guard and the event log remember is bounded; an attempt that never began counts for none that did

Found on reading the change once more: the guard's windows were emptied only when further attempts were asked about, so that a quiet process kept a bucket for each hundredth of a second with a query for good; the reason of a close told what a bad client had sent, a count of its own for each; the end of an attempt that was never written took another attempt off the account of those out.

--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -9,9 +9,9 @@
 
 from tests.helpers import COLD, GROUP, ROOT, SERVICES, entry, member, until
 from tests.test_crossings import joined, returns
-from vanerelay.guard import ENOUGH_ANSWERS, Guard, GuardTerms, Invariant
+from vanerelay.guard import BUCKET, ENOUGH_ANSWERS, Guard, GuardTerms, Invariant
 from vanerelay.interface import SECOND, Effect, EngineState, MachineKind, Outcome, RationTerms, Scope
-from vanerelay.net.events import BURST, EventLog, Kind
+from vanerelay.net.events import BURST, REASONS_MOST, EventLog, Kind
 
 NOW = 1000 * SECOND
 LIMIT = NOW + 20 * SECOND
@@ -100,10 +100,13 @@
     assert made.begin(NOW, record, 0, 0) is None and made.begin(NOW, record, 1, 1) is Invariant.COPY
     assert made.begin(NOW, record, 3, 1) is Invariant.ATTEMPTS
     assert guard(copies=True).begin(NOW, record, 1, 1) is None
+    record.out.discard(1)
+    made.attempt_ended(record, 1, Outcome.NOT_SENT, 0)  # one that never began says nothing of the other
+    assert made.begin(NOW, record, 2, 1) is Invariant.COPY
     assert made.answered(record) and not made.closing(1)
     record.ended = True
     assert made.begin(NOW, record, 1, 1) is Invariant.ENDED and not made.answered(record)
-    assert made.told() == {"deadline": 1, "copy": 1, "attempts": 1, "close": 1, "ended": 1, "answer": 1}
+    assert made.told() == {"deadline": 1, "copy": 2, "attempts": 1, "close": 1, "ended": 1, "answer": 1}
 
 
 def test_a_cold_engine_gets_no_more_than_all_together_may_send():
@@ -120,6 +123,15 @@
     assert made.begin(after, made.taken(after, 0, 2 * after, True), 0, 1) is None
 
 
+@pytest.mark.parametrize("span", [0, 10 * SECOND])
+def test_what_the_guard_remembers_is_bounded(span):
+    """Also where nothing is ever repeated, and where no budget is stated."""
+    made = guard(RationTerms(span, 1, 0.1))
+    for number in range(5_000):
+        made.taken(NOW + number * BUCKET, 0, LIMIT, True)
+    assert made.remembered() <= 10 * SECOND // BUCKET + 2
+
+
 def broken_by(node):
     """What the guard counted, as the process says at its end."""
     node.process.terminate()
@@ -190,6 +202,25 @@
     events.write_counts()
     assert events.counts[Kind.RETRY, "reset"] == 10 * BURST
     assert capsys.readouterr().out.count(Kind.RETRY.value) <= BURST + 1
+    for number in range(10 * REASONS_MOST):
+        events.note(Kind.CLOSE, f"a frame's length is {number}")
+    assert len(events.counts) <= REASONS_MOST + len(Kind)
+    assert events.counts.total() == 10 * BURST + 10 * REASONS_MOST
+
+
+def test_reasons_of_closes_are_few_whatever_clients_send(started):
+    """The reason of a close told what had come, so that each bad client made a count of its own."""
+    node = started(member(started.engine(returns)))
+    for length in (1, 2, 3):
+        bad = node.client()
+        bad.send(length.to_bytes(4, "big"))
+        assert bad.read() == (4, 0, b"\2\0")
+    node.process.terminate()
+    assert node.process.wait(30) == 0
+    lines = [json.loads(line) for line in node.log.read_text().splitlines()]
+    counts = [line for line in lines if line["event"] == "events so far"][-1]
+    by_us = [name for name in counts if "client, by us" in name]
+    assert by_us == ["connection closed: client, by us: it does not keep to the protocol"]
 
 
 def test_retries_refusals_closes_and_changes_of_state_are_in_the_log_with_their_reasons(started):
--- a/vanerelay/guard.py
+++ b/vanerelay/guard.py
@@ -49,12 +49,13 @@
 
 @dataclass(slots=True)
 class QueryRecord:
-    """One query as the guard knows it. `maybe_ran`: when and where attempts began that may have run."""
+    """One query as the guard knows it. `out`: attempts that have begun and not ended; `maybe_ran`: when and
+    where attempts began that may have run."""
 
     group: ServiceGroup
     deadline: int
     begun: int = 0
-    out: int = 0
+    out: set[int] = field(default_factory=set)
     ended: bool = False
     maybe_ran: dict[int, tuple[int, EngineEntry]] = field(default_factory=dict)
 
@@ -68,22 +69,26 @@
 
 
 class Window:
-    """Events counted over a span of time that ends now, in buckets."""
+    """Events counted over a span of time that ends now, in buckets. What has left the span is forgotten."""
 
     def __init__(self) -> None:
         self._buckets = deque[list[int]]()  # when each began, and how many
         self._sum = 0
 
-    def add(self, now: int, count: int = 1) -> None:
+    def __len__(self) -> int:
+        return len(self._buckets)
+
+    def add(self, now: int, span: int) -> None:
         start = now - now % BUCKET
         if self._buckets and self._buckets[-1][0] == start:
-            self._buckets[-1][1] += count
+            self._buckets[-1][1] += 1
         else:
-            self._buckets.append([start, count])
-        self._sum += count
+            self._buckets.append([start, 1])
+        self._sum += 1
+        self.total(now, span)
 
     def total(self, now: int, span: int) -> int:
-        """All that came within the span. What has left it is forgotten."""
+        """All that came within the span."""
         while self._buckets and self._buckets[0][0] + BUCKET <= now - span:
             self._sum -= self._buckets.popleft()[1]
         return self._sum
@@ -126,11 +131,11 @@
     def taken(self, now: int, group: int, deadline: int, earns: bool) -> QueryRecord:
         """A query was taken. `earns`: it adds to the budget for further attempts."""
         if earns:
-            self._taken.add(now)
+            self._taken.add(now, self._terms.budget.span)
         return QueryRecord(self._terms.groups[group], deadline)
 
     def attempt_ended(self, record: QueryRecord, number: int, outcome: Outcome, work: int) -> None:
-        record.out = max(0, record.out - 1)
+        record.out.discard(number)
         if outcome in NEVER_RAN:
             record.maybe_ran.pop(number, None)
         elif outcome is Outcome.RETURNED and work > 0:
@@ -153,12 +158,12 @@
             return broken
         entry = self._engines[engine]
         record.begun += 1
-        record.out += 1
+        record.out.add(number)
         record.maybe_ran[number] = now, entry
         if number:
-            self._further.add(now)
+            self._further.add(now, self._terms.budget.span)
         if self._is_cold(now, entry):
-            self._sent_to.setdefault(engine, Window()).add(now)
+            self._sent_to.setdefault(engine, Window()).add(now, self._terms.cold.window)
         return None
 
     def _holds(self, broken: Invariant | None) -> bool:
@@ -219,6 +224,10 @@
         slack = 2.0 * math.sqrt(allowed) + 2.0 if allowed >= LARGE else 3.0 * math.sqrt(allowed) + 3.0
         return sent.total(now, cold.window) + 1 > allowed + slack
 
+    def remembered(self) -> int:
+        """How many buckets are kept at the moment."""
+        return sum(len(window) for window in (self._taken, self._further, *self._sent_to.values()))
+
     def told(self) -> Mapping[str, int]:
         """The breaks so far, by the invariant's name."""
         return {invariant.name.lower(): count for invariant, count in self.broken.items()}
--- a/vanerelay/net/clients.py
+++ b/vanerelay/net/clients.py
@@ -157,7 +157,7 @@
         self._clients.refused.warn(why=why)
         self._fail_open()
         self._write(frames.answer(frames.ANSWER, 0, frames.ERRORED, {}))
-        self.end(why)
+        self.end("it does not keep to the protocol", why)
 
     def _fail_open(self) -> None:
         """The final answer of each query that is open here, for which nothing is done any more."""
@@ -200,7 +200,7 @@
         self._closing = True
         self._rest()
 
-    def end(self, why: str) -> None:
+    def end(self, why: str, detail: str = "") -> None:
         """Ends our side once all has left. What the client still sends is read and dropped until its own end
         comes, for a while: a close over unread bytes is a reset, which takes answers along."""
         ended, self.ended, self._deaf = self.ended, True, True
@@ -208,7 +208,7 @@
             return
         if not self._clients.service.may_close(len(self.open)):
             self._fail_open()
-        self._clients.events.note(Kind.CLOSE, f"client, by us: {why}")
+        self._clients.events.note(Kind.CLOSE, f"client, by us: {why}", detail=detail)
         self._reader.drop()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
--- a/vanerelay/net/events.py
+++ b/vanerelay/net/events.py
@@ -15,6 +15,8 @@
 BURST = 30  # lines written in a row
 LINES_S = 3.0  # lines a second in the long run
 COUNTS_S = 10.0  # between two lines of counts
+REASONS_MOST = 100  # that are counted apart; further ones count together, by their kind
+OTHER = "another reason"
 
 log = structlog.get_logger()
 
@@ -39,8 +41,9 @@
         self._counts_due, self._counted = reactor.seconds() + COUNTS_S, 0
 
     def note(self, kind: Kind, why: str, line: bool = True, **told: Any) -> None:
-        """An event and its reason, one of a few words; `told` is what belongs to this event alone."""
-        self.counts[kind, why] += 1
+        """An event and its reason, one of a few fixed ones; `told` is what belongs to this event alone."""
+        known = (kind, why) in self.counts or len(self.counts) < REASONS_MOST
+        self.counts[kind, why if known else OTHER] += 1
         if line and self._may_write():
             log.info(kind.value, why=why, **told)
 
