--- a/vanerelay/lab/net.py
+++ b/vanerelay/lab/net.py
@@ -26,6 +26,8 @@
 CONNECT_S = 2.0
 GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
+PORT_TRIES = 100  # at an address that was not given to anybody yet
+
 
 class Side(Protocol):
     """One end of a joint. `deliver` and `over` are called by the joint; `flow` says whether more may come."""
@@ -360,8 +362,16 @@
         yield f"127.{first}.{(second + number // 250) % 256}.{number % 250 + 2}"
 
 
+_given: set[str] = set()  # addresses handed out, whose parties may not listen yet
+
+
 def free_address(host: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
-    """With a port that the system chose and nobody has."""
-    with socket.socket(socket.AF_INET, kind) as one:
-        one.bind((host, 0))
-        return f"{host}:{one.getsockname()[1]}"
+    """With a port that the system chose, that nobody has and that was given to nobody else."""
+    for _ in range(PORT_TRIES):
+        with socket.socket(socket.AF_INET, kind) as one:
+            one.bind((host, 0))
+            address = f"{host}:{one.getsockname()[1]}"
+        if address not in _given:
+            break
+    _given.add(address)
+    return address
