Review case 1: a burst of long statements stops all reading for seconds

Cause sought: table_group takes 25 to 40 ms for 16 kB on the event loop, and one pass takes 64 kB from every readable connection. Change: a case that starts one gateway, usual clients and a bad client that sends 400 requests at once.

--- /dev/null
+++ b/review/1/burst.py
@@ -0,0 +1,68 @@
+"""The bad client: hundreds of requests at once, over many connections. It reads whatever is sent to it.
+
+Each request is well formed: a class of the settings, an id of its own, a statement of some 16 kB.
+"""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+
+from standins import request  # noqa: E402
+
+CONNECTIONS = 100
+REQUESTS_EACH = 4
+STATEMENT_BYTES = 15_900
+READ_FOR_S = 25.0
+
+
+def statement() -> bytes:
+    """Returns a look-up for a long list of pairs."""
+    head = b"SELECT a, b, c FROM sales_17.orders WHERE (shelf, box) IN ("
+    pairs = b"(1,2)" + b",(3,4)" * 4000
+    return head + pairs[: (STATEMENT_BYTES - len(head)) // 6 * 6 - 1] + b")"
+
+
+def main() -> None:
+    port, allow_ms = int(sys.argv[1]), sys.argv[2]
+    body = statement()
+    opened, messages = [], []
+    for connection in range(CONNECTIONS):
+        parts = []
+        for number in range(REQUESTS_EACH):
+            ref = f"{0xBAD00000 + connection * REQUESTS_EACH + number:016x}"
+            fields = {"service": "consulta-stock", "ref": ref, "allow": allow_ms, "effort": "20", "space": "20"}
+            parts.append(request(number + 1, fields, body))
+        messages.append(b"".join(parts))
+        opened.append(socket.create_connection(("127.0.0.1", port)))
+    started = time.monotonic()
+    for sock, message in zip(opened, messages, strict=True):
+        sock.sendall(message)
+    total = len(messages) * REQUESTS_EACH
+    print(f"burst sent requests={total} bytes={sum(map(len, messages))} in_s={time.monotonic() - started:.2f}",
+          flush=True)
+    selector = selectors.DefaultSelector()
+    for sock in opened:
+        sock.setblocking(False)
+        selector.register(sock, selectors.EVENT_READ)
+    end = time.monotonic() + READ_FOR_S
+    while selector.get_map() and time.monotonic() < end:
+        for key, _ in selector.select(0.2):
+            try:
+                data = key.fileobj.recv(65536)  # type: ignore[union-attr]
+            except OSError:
+                data = b""
+            if not data:
+                selector.unregister(key.fileobj)
+                key.fileobj.close()  # type: ignore[union-attr]
+    for sock in opened:
+        sock.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,143 @@
+"""Case 1: hundreds of requests at once from a bad client, and the requests of usual clients meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "common"))
+
+import standins  # noqa: E402
+from clients import UsualClient  # noqa: E402
+from standins import Engine, EngineLink, Feed, Gateway, Record  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+DEADLINE_MS, ALLOW_MS = 4000, 3200
+"""The class's time limit, and the try of a usual client: 80% of it."""
+LATE_S = 0.5 + 0.05
+"""STANDING: up to half a second after its time an answer only earns nothing; PROTOCOL: each limit is 50 ms longer."""
+CLIENTS, INTERVAL_S = 10, 0.5
+BURST_AT_S, SEND_FOR_S = 3.0, 10.0
+
+SETTINGS = {
+    "classes": [
+        {"name": "consulta-stock", "aimUs": 750_000, "aimStretch": 2.0, "deadlineUs": DEADLINE_MS * 1000,
+         "importance": 1, "lateWorth": 0.2, "semantics": "pure"},
+    ],
+    "orgs": [], "kinds": ["k"], "failureDomains": ["here"], "az": 0, "groupSize": 1, "position": 0,
+    "tickUs": 5000,
+    "familyInfo": {"memoryByKindMb": [32768], "cpuOfKind": [12], "parallelism": [1], "takesGrants": True,
+                   "bills": True, "grantCap": 0.4, "reportX0": "share of memory granted",
+                   "reportX1": "share of disks busy"},
+    "report": {"columns": ["pending", "x0", "x1"], "how": "piggyback"},
+    "limits": {"maxAttempts": 3, "maxOpen": 20000, "multiplex": 100, "dialTimeoutUs": 250_000,
+               "connIdleUs": 15_000_000, "cancel": True, "secondCopies": True, "retryAfter": True,
+               "maxRetryAfterUs": 2_000_000},
+    "safety": {"coldFrom": 0.35, "coldUs": 14_000_000, "fallMultiple": 4, "overloadForUs": 2_000_000,
+               "drainGraceUs": 2_000_000, "graceToAnswerUs": 20_000, "minExtra": 2, "extraRatio": 0.2,
+               "ratioSpanUs": 10_000_000},
+}
+
+
+async def serve(engine: Engine, link: EngineLink, ident: str, fields: dict[str, str], body: bytes) -> None:
+    """A sound engine: answers each query after 20 ms."""
+    await asyncio.sleep(0.02)
+    engine.complete(link, ident, b"a\tb\tc\n", 20.0)
+
+
+async def run(record: Record, folder: Path) -> int:
+    engines = [Engine(f"e{number}", serve) for number in range(4)]
+    for engine in engines:
+        await engine.start()
+    feed = Feed([standins.member(engine) for engine in engines])
+    await feed.start()
+    port = standins.free_port()
+    gateway = Gateway("n0", folder, standins.configuration("n0", port, feed, SETTINGS))
+    gateway.start()
+    clients = [UsualClient(record, port, seed) for seed in range(CLIENTS)]
+    burst: subprocess.Popen[str] | None = None
+    try:
+        if not await gateway.until_ready():
+            record.say("the gateway did not become ready")
+            return 2
+        started = time.monotonic()
+        body = b"SELECT a, b, c FROM sales_3.stock WHERE box = 7"
+        sending = [
+            asyncio.ensure_future(
+                client.run(started + SEND_FOR_S, INTERVAL_S, "consulta-stock", ALLOW_MS, body)
+            )
+            for client in clients
+        ]
+        await asyncio.sleep(BURST_AT_S)
+        if TROUBLE:
+            record.line("burst begins")
+            burst = subprocess.Popen(
+                [sys.executable, str(HERE / "burst.py"), str(port), str(ALLOW_MS)],
+                stdout=subprocess.PIPE, text=True,
+            )
+        await asyncio.gather(*sending)
+        # The last request may take its whole time; an answer that comes later is noted with its time.
+        end = time.monotonic() + ALLOW_MS / 1000 + LATE_S + 20.0
+        while time.monotonic() < end:
+            if all(sent.answered_at is not None or sent.ended for client in clients for sent in client.sent):
+                break
+            await asyncio.sleep(0.1)
+        if burst is not None:
+            burst.kill()
+            record.line((burst.communicate()[0] or "burst said nothing").strip())
+        if gateway.process is None or gateway.process.poll() is not None:
+            record.say("the gateway ended by itself")
+            return 1
+        return judge(record, clients)
+    finally:
+        for client in clients:
+            client.close()
+        if burst is not None and burst.poll() is None:
+            burst.kill()
+            burst.wait()
+        gateway.end()
+        for engine in engines:
+            engine.close()
+        feed.close()
+        for line in gateway.log_path.read_text(encoding="utf-8").splitlines():
+            record.line("log " + line)
+
+
+def judge(record: Record, clients: list[UsualClient]) -> int:
+    """Counts the usual clients' requests without a final answer up to half a second after their time."""
+    lost, longest, total, codes = 0, 0.0, 0, dict[str, int]()
+    for client in clients:
+        for sent in client.sent:
+            total += 1
+            codes[str(sent.code)] = codes.get(str(sent.code), 0) + 1
+            took = (sent.answered_at or float("inf")) - sent.at
+            longest = max(longest, took)
+            if took > sent.allow_ms / 1000 + LATE_S or sent.answers > 1:
+                lost += 1
+                record.line(f"LOST {sent.ref} answered_after_s={took:.2f} allow_s={sent.allow_ms / 1000}")
+    record.say(f"usual requests={total} lost={lost} longest_s={longest:.2f} codes={codes}")
+    return 1 if lost else 0
+
+
+def main() -> int:
+    record = Record(HERE / "record.txt")
+    record.line(f"trouble={TROUBLE}")
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            code = asyncio.run(asyncio.wait_for(run(record, Path(folder)), 100))
+        except (asyncio.TimeoutError, OSError) as error:
+            record.say(f"the case could not run: {type(error).__name__}: {error}")
+            code = 2
+    record.say(f"exit={code}")
+    record.close()
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/review/common/clients.py
@@ -0,0 +1,92 @@
+"""Usual clients: each sends single requests at a steady rate and notes when each final answer came."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from dataclasses import dataclass
+
+from standins import HOST, Record, parse_answer, read_frame, request
+
+
+@dataclass
+class Sent:
+    """A request of a usual client."""
+
+    ref: str
+    service: str
+    allow_ms: int
+    at: float
+    taken_at: float = 0.0
+    answered_at: float | None = None
+    code: int | None = None
+    answers: int = 0
+    ended: str = ""
+
+
+class UsualClient:
+    """One connection with requests at a steady rate; a new connection is made when one ends."""
+
+    def __init__(self, record: Record, port: int, seed: int) -> None:
+        self._record, self._port = record, port
+        self._random = random.Random(seed)
+        self.sent: list[Sent] = []
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._open: dict[int, Sent] = {}
+        self._stream = 0
+        self._reading: asyncio.Task[None] | None = None
+
+    async def _connect(self) -> None:
+        self._reader, self._writer = await asyncio.open_connection(HOST, self._port)
+        self._stream, self._open = 0, {}
+        self._reading = asyncio.ensure_future(self._read(self._reader, self._open))
+
+    async def _read(self, reader: asyncio.StreamReader, opened: dict[int, Sent]) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                kind, stream, payload = await read_frame(reader)
+                if kind != 4 or stream not in opened:
+                    continue
+                sent = opened[stream]
+                sent.answers += 1
+                if sent.answered_at is None:
+                    code, _, _ = parse_answer(payload)
+                    sent.answered_at, sent.code = time.monotonic(), code
+                    took = (sent.answered_at - sent.at) * 1000
+                    self._record.line(f"client answered {sent.ref} code={code} after_ms={took:.0f}")
+        for sent in opened.values():
+            if sent.answered_at is None:
+                sent.ended = "connection ended"
+                self._record.line(f"client connection ended over {sent.ref}")
+        if self._reader is reader:
+            self._writer = None
+
+    async def run(self, until: float, interval_s: float, service: str, allow_ms: int, body: bytes) -> None:
+        """Sends requests until a time, then waits until the last is out of its time."""
+        await asyncio.sleep(self._random.uniform(0, interval_s))
+        while time.monotonic() < until:
+            if self._writer is None or self._writer.is_closing():
+                try:
+                    await self._connect()
+                except OSError:
+                    await asyncio.sleep(interval_s)
+                    continue
+            assert self._writer is not None
+            self._stream += 1
+            sent = Sent(f"{self._random.getrandbits(64):016x}", service, allow_ms, time.monotonic())
+            fields = {"service": service, "ref": sent.ref, "allow": str(allow_ms), "effort": "20", "space": "20"}
+            self._open[self._stream] = sent
+            self.sent.append(sent)
+            self._writer.write(request(self._stream, fields, body))
+            self._record.line(f"client sent {sent.ref} {service} allow_ms={allow_ms}")
+            await asyncio.sleep(interval_s * self._random.uniform(0.8, 1.2))
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._reading is not None:
+            self._reading.cancel()
+        if self._writer is not None:
+            self._writer.close()
