Review case 1: also loads that begin after their clients have withdrawn them

Cause sought: an attempt that waits for a recent poll begins after two passes in any case, however long they were. Change: the burst is 720 requests on 60 connections, and other clients send once-only loads that they withdraw.

--- a/review/1/burst.py
+++ b/review/1/burst.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import selectors
 import socket
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -15,17 +17,23 @@
 
 from standins import request  # noqa: E402
 
-CONNECTIONS = 100
-REQUESTS_EACH = 4
+CONNECTIONS = 60
+REQUESTS_EACH = 12
 STATEMENT_BYTES = 15_900
-READ_FOR_S = 25.0
+READ_FOR_S = 45.0
 
 
 def statement() -> bytes:
-    """Returns a look-up for a long list of pairs."""
-    head = b"SELECT a, b, c FROM sales_17.orders WHERE (shelf, box) IN ("
-    pairs = b"(1,2)" + b",(3,4)" * 4000
-    return head + pairs[: (STATEMENT_BYTES - len(head)) // 6 * 6 - 1] + b")"
+    """Returns a look-up for a long list of numbers."""
+    head = b"SELECT a, b, c FROM sales_17.orders WHERE box IN ("
+    numbers = b",".join(b"%d" % (number % 10) for number in range((STATEMENT_BYTES - len(head)) // 2))
+    return head + numbers + b")"
+
+
+def send(sock: socket.socket, message: bytes) -> None:
+    """Sends at full speed; the gateway may end the connection."""
+    with contextlib.suppress(OSError):
+        sock.sendall(message)
 
 
 def main() -> None:
@@ -41,8 +49,13 @@
         messages.append(b"".join(parts))
         opened.append(socket.create_connection(("127.0.0.1", port)))
     started = time.monotonic()
-    for sock, message in zip(opened, messages, strict=True):
-        sock.sendall(message)
+    threads = [
+        threading.Thread(target=send, args=(sock, message)) for sock, message in zip(opened, messages, strict=True)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
     total = len(messages) * REQUESTS_EACH
     print(f"burst sent requests={total} bytes={sum(map(len, messages))} in_s={time.monotonic() - started:.2f}",
           flush=True)
--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Case 1: hundreds of requests at once from a bad client, and the requests of usual clients meanwhile."""
+"""Case 1: hundreds of requests at once from a bad client, and what becomes of other clients' requests."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 
 import standins  # noqa: E402
-from clients import UsualClient  # noqa: E402
+from clients import LoadClient, UsualClient  # noqa: E402
 from standins import Engine, EngineLink, Feed, Gateway, Record  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -23,16 +23,23 @@
 LATE_S = 0.5 + 0.05
 """STANDING: up to half a second after its time an answer only earns nothing; PROTOCOL: each limit is 50 ms longer."""
 CLIENTS, INTERVAL_S = 10, 0.5
-BURST_AT_S, SEND_FOR_S = 3.0, 10.0
+LOAD_CLIENTS, LOAD_INTERVAL_S = 10, 1.0
+LOAD_ALLOW_MS, LOAD_PATIENCE_S = 20_000, (2.0, 14.0)
+"""80% of the class's 25 s; and after how long a client withdraws a load that was not answered."""
+BEGIN_S, SLACK_S = 0.1, 0.05
+"""STANDING: an attempt that begins more than 0.1 s after its client has gone is a break; and the 50 ms above."""
+BURST_AT_S, SEND_FOR_S = 3.0, 18.0
 
 SETTINGS = {
     "classes": [
         {"name": "consulta-stock", "aimUs": 750_000, "aimStretch": 2.0, "deadlineUs": DEADLINE_MS * 1000,
          "importance": 1, "lateWorth": 0.2, "semantics": "pure"},
+        {"name": "carga-pedidos", "aimUs": 3_000_000, "aimStretch": 2.5, "deadlineUs": 25_000_000,
+         "importance": 6, "lateWorth": 0.2, "semantics": "side_effect"},
     ],
     "orgs": [], "kinds": ["k"], "failureDomains": ["here"], "az": 0, "groupSize": 1, "position": 0,
     "tickUs": 5000,
-    "familyInfo": {"memoryByKindMb": [32768], "cpuOfKind": [12], "parallelism": [1], "takesGrants": True,
+    "familyInfo": {"memoryByKindMb": [32768], "cpuOfKind": [12], "parallelism": [1, 2], "takesGrants": True,
                    "bills": True, "grantCap": 0.4, "reportX0": "share of memory granted",
                    "reportX1": "share of disks busy"},
     "report": {"columns": ["pending", "x0", "x1"], "how": "piggyback"},
@@ -45,13 +52,19 @@
 }
 
 
-async def serve(engine: Engine, link: EngineLink, ident: str, fields: dict[str, str], body: bytes) -> None:
-    """A sound engine: answers each query after 20 ms."""
-    await asyncio.sleep(0.02)
-    engine.complete(link, ident, b"a\tb\tc\n", 20.0)
-
-
 async def run(record: Record, folder: Path) -> int:
+    begun: list[tuple[str, float]] = []
+
+    async def serve(engine: Engine, link: EngineLink, ident: str, fields: dict[str, str], body: bytes) -> None:
+        """A sound engine: answers each query after 20 ms, each load after 100 ms."""
+        begun.append((ident, time.monotonic()))
+        is_load = fields["sort"] == "carga-pedidos"
+        if is_load:
+            record.line(f"engine {engine.name} got load {ident}")
+        work_s = 0.1 if is_load else 0.02
+        await asyncio.sleep(work_s)
+        engine.complete(link, ident, b"a\tb\tc\n", 2000 * work_s if is_load else 1000 * work_s)
+
     engines = [Engine(f"e{number}", serve) for number in range(4)]
     for engine in engines:
         await engine.start()
@@ -61,6 +74,7 @@
     gateway = Gateway("n0", folder, standins.configuration("n0", port, feed, SETTINGS))
     gateway.start()
     clients = [UsualClient(record, port, seed) for seed in range(CLIENTS)]
+    loaders = [LoadClient(record, port, seed, LOAD_PATIENCE_S) for seed in range(LOAD_CLIENTS)]
     burst: subprocess.Popen[str] | None = None
     try:
         if not await gateway.until_ready():
@@ -74,6 +88,13 @@
             )
             for client in clients
         ]
+        load = b"INSERT INTO sales_5.orders VALUES (1, 2, 'x')"
+        loading = [
+            asyncio.ensure_future(
+                loader.run(started + SEND_FOR_S, LOAD_INTERVAL_S, "carga-pedidos", LOAD_ALLOW_MS, load)
+            )
+            for loader in loaders
+        ]
         await asyncio.sleep(BURST_AT_S)
         if TROUBLE:
             record.line("burst begins")
@@ -88,13 +109,16 @@
             if all(sent.answered_at is not None or sent.ended for client in clients for sent in client.sent):
                 break
             await asyncio.sleep(0.1)
+        await asyncio.wait(loading, timeout=LOAD_ALLOW_MS / 1000)
+        for task in loading:
+            task.cancel()
         if burst is not None:
             burst.kill()
             record.line((burst.communicate()[0] or "burst said nothing").strip())
         if gateway.process is None or gateway.process.poll() is not None:
             record.say("the gateway ended by itself")
             return 1
-        return judge(record, clients)
+        return judge(record, clients, loaders, begun)
     finally:
         for client in clients:
             client.close()
@@ -109,20 +133,32 @@
             record.line("log " + line)
 
 
-def judge(record: Record, clients: list[UsualClient]) -> int:
-    """Counts the usual clients' requests without a final answer up to half a second after their time."""
-    lost, longest, total, codes = 0, 0.0, 0, dict[str, int]()
+def judge(
+    record: Record, clients: list[UsualClient], loaders: list[LoadClient], begun: list[tuple[str, float]]
+) -> int:
+    """Counts the requests without a final answer half a second after their time, and the loads begun too late."""
+    lost, longest, total = 0, 0.0, 0
     for client in clients:
         for sent in client.sent:
             total += 1
-            codes[str(sent.code)] = codes.get(str(sent.code), 0) + 1
             took = (sent.answered_at or float("inf")) - sent.at
             longest = max(longest, took)
             if took > sent.allow_ms / 1000 + LATE_S or sent.answers > 1:
                 lost += 1
                 record.line(f"LOST {sent.ref} answered_after_s={took:.2f} allow_s={sent.allow_ms / 1000}")
-    record.say(f"usual requests={total} lost={lost} longest_s={longest:.2f} codes={codes}")
-    return 1 if lost else 0
+    record.say(f"usual requests={total} lost={lost} longest_s={longest:.2f}")
+    withdrawn = {ref: at for loader in loaders for ref, at in loader.withdrawn.items()}
+    late, worst = 0, 0.0
+    for ident, at in begun:
+        after = at - withdrawn.get(ident, float("inf"))
+        if after > BEGIN_S + SLACK_S:
+            late, worst = late + 1, max(worst, after)
+            record.line(f"LOST {ident}: once-only load began {after:.2f} s after its client had withdrawn it")
+    record.say(
+        f"loads={sum(loader.sent for loader in loaders)} withdrawn={len(withdrawn)}"
+        f" begun_after_withdrawal={late} worst_s={worst:.2f}"
+    )
+    return 1 if lost or late else 0
 
 
 def main() -> int:
--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -1,4 +1,4 @@
-"""Usual clients: each sends single requests at a steady rate and notes when each final answer came."""
+"""Clients: usual ones, which note when each final answer came, and ones that withdraw what takes too long."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass
 
-from standins import HOST, Record, parse_answer, read_frame, request
+from standins import HOST, Record, frame, parse_answer, read_frame, request
 
 
 @dataclass
@@ -90,3 +90,60 @@
             self._reading.cancel()
         if self._writer is not None:
             self._writer.close()
+
+
+class LoadClient:
+    """Sends loads at a steady rate on one connection, and withdraws (type 8) each that is not answered in time.
+
+    Attributes:
+        withdrawn: When each load was withdrawn, by its id.
+        sent: The number of loads sent.
+    """
+
+    def __init__(self, record: Record, port: int, seed: int, patience_s: tuple[float, float]) -> None:
+        self._record, self._port = record, port
+        self._random = random.Random(500 + seed)
+        self._patience_s = patience_s
+        self.withdrawn: dict[str, float] = {}
+        self.sent = 0
+
+    async def run(self, until: float, interval_s: float, service: str, allow_ms: int, body: bytes) -> None:
+        """Sends until a time, then waits for the last answers and withdrawals."""
+        await asyncio.sleep(self._random.uniform(0, interval_s))
+        reader, writer = await asyncio.open_connection(HOST, self._port)
+        waiting: dict[int, str] = {}
+        reading = asyncio.ensure_future(self._read(reader, waiting))
+        stream = 0
+        try:
+            while not reading.done():
+                if time.monotonic() < until and len(waiting) < 30:
+                    stream += 1
+                    ref = f"{self._random.getrandbits(64):016x}"
+                    fields = {"service": service, "ref": ref, "allow": str(allow_ms), "effort": "200", "space": "50"}
+                    waiting[stream] = ref
+                    writer.write(request(stream, fields, body))
+                    self.sent += 1
+                    self._record.line(f"client sent {ref} {service} allow_ms={allow_ms}")
+                    patience_s = self._random.uniform(*self._patience_s)
+                    asyncio.get_running_loop().call_later(patience_s, self._withdraw, writer, waiting, stream)
+                elif time.monotonic() >= until and not waiting:
+                    return
+                await asyncio.sleep(interval_s * self._random.uniform(0.8, 1.2))
+        finally:
+            reading.cancel()
+            writer.close()
+
+    def _withdraw(self, writer: asyncio.StreamWriter, waiting: dict[int, str], stream: int) -> None:
+        ref = waiting.pop(stream, None)
+        if ref is not None and not writer.is_closing():
+            writer.write(frame(8, stream, b""))
+            self.withdrawn[ref] = time.monotonic()
+            self._record.line(f"client withdrew {ref}")
+
+    async def _read(self, reader: asyncio.StreamReader, waiting: dict[int, str]) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                kind, stream, payload = await read_frame(reader)
+                ref = waiting.pop(stream, None) if kind == 4 else None
+                if ref is not None:
+                    self._record.line(f"client answered {ref} code={payload[0]}")
