--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 """After SIGTERM. PROTOCOL: new connections arrive for 0.2 to 0.4 s, requests on open ones for 0.2 s more."""
 WRITTEN_BY_S = 0.6
 """A request counts only if its last byte was written by then."""
-CLIENTS, REQUESTS_EACH = 6, 24
+CLIENTS, REQUESTS_EACH = 8, 26
 """PROTOCOL: up to 32 requests may be open on one connection."""
 STATEMENT_BYTES = 60_000
 ALLOW_MS = 20_000
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,6 +29,8 @@
 BEGIN_S, SLACK_S = 0.1, 0.05
 """STANDING: an attempt that begins more than 0.1 s after its client has gone is a break; and the 50 ms above."""
 BURST_AT_S, SEND_FOR_S = 3.0, 18.0
+BURST = (60, 12)
+"""Connections, and requests at once on each."""
 
 SETTINGS = {
     "classes": [
@@ -99,7 +101,7 @@
         if TROUBLE:
             record.line("burst begins")
             burst = subprocess.Popen(
-                [sys.executable, str(HERE / "burst.py"), str(port), str(ALLOW_MS)],
+                [sys.executable, str(HERE.parent / "common" / "burst.py"), str(port), str(ALLOW_MS), *map(str, BURST)],
                 stdout=subprocess.PIPE, text=True,
             )
         await asyncio.gather(*sending)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,11 @@
-"""Case 3: a gateway that stands still for a moment, and clients that ask on a resting connection meanwhile."""
+"""Case 3: hundreds of requests at once from a bad client, and clients that ask on a resting connection meanwhile."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import random
-import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -15,18 +15,19 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 
 import standins  # noqa: E402
-from clients import Sent, UsualClient  # noqa: E402
+from clients import Sent  # noqa: E402
 from standins import HOST, Engine, EngineLink, Feed, Gateway, Record, parse_answer, read_frame, request  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STILL_S, BETWEEN_S, FOR_S = 1.9, 2.6, 34.0
-"""Pages: 1,500 to 2,000 ms (at most 2,000), 2 to 4 s between, for at most 35 s (40 s)."""
+BURST = (80, 4)
+"""Connections of the bad client, and requests at once on each."""
+BURST_AT_S, FOR_S = 12.0, 12.0
+"""When the burst comes, and how long clients go on asking after it."""
 ALLOW_MS = 3_800
 CROSSING_S = 0.05
 """PROTOCOL: a request that crosses the close of a connection within 50 ms is sent again, and is not lost."""
 SLACK_S = 0.1
 """Added to that here, as the client sees the close later than the gateway makes it."""
-LOAD_CLIENTS, LOAD_PER_S = 10, 40
 RESTING_CLIENTS = 120
 REST_S = (6.4, 7.8)
 
@@ -128,20 +129,6 @@
         return not data
 
 
-async def stand_still(record: Record, gateway: Gateway, until: float) -> None:
-    """Stops and continues the gateway, as the pages' stalls."""
-    draw = random.Random(7)
-    while time.monotonic() + STILL_S < until:
-        record.line("gateway stands still")
-        gateway.signal(signal.SIGSTOP)
-        try:
-            await asyncio.sleep(STILL_S)
-        finally:
-            gateway.signal(signal.SIGCONT)
-        record.line("gateway goes on")
-        await asyncio.sleep(BETWEEN_S + draw.uniform(0, 0.2))
-
-
 async def run(record: Record, folder: Path) -> int:
     engines = [Engine(f"e{number}", serve) for number in range(4)]
     for engine in engines:
@@ -151,27 +138,26 @@
     port = standins.free_port()
     gateway = Gateway("n0", folder, standins.configuration("n0", port, feed, SETTINGS))
     gateway.start()
-    load = [UsualClient(record, port, seed) for seed in range(LOAD_CLIENTS)]
     resting = [RestingClient(record, port, seed) for seed in range(RESTING_CLIENTS)]
-    tasks: list[asyncio.Future[None]] = []
+    burst: subprocess.Popen[str] | None = None
     try:
         if not await gateway.until_ready():
             record.say("the gateway did not become ready")
             return 2
         started = time.monotonic()
-        until = started + 9.0 + FOR_S
-        pairs = b"(1,2)" + b",(3,4)" * 1300
-        body = b"SELECT a, b, c FROM sales_3.stock WHERE (shelf, box) IN (" + pairs + b")"
-        interval = LOAD_CLIENTS / LOAD_PER_S
-        tasks += [
-            asyncio.ensure_future(client.run(until, interval, "consulta-stock", ALLOW_MS, body))
-            for client in load
-        ]
+        until = started + BURST_AT_S + FOR_S
         asking = [asyncio.ensure_future(client.run(until)) for client in resting]
-        await asyncio.sleep(9.0)
+        await asyncio.sleep(BURST_AT_S)
         if TROUBLE:
-            await stand_still(record, gateway, until)
+            record.line("burst begins")
+            burst = subprocess.Popen(
+                [sys.executable, str(HERE.parent / "common" / "burst.py"), str(port), str(ALLOW_MS), *map(str, BURST)],
+                stdout=subprocess.PIPE, text=True,
+            )
         await asyncio.gather(*asking)
+        if burst is not None:
+            burst.kill()
+            record.line((burst.communicate()[0] or "burst said nothing").strip())
         if gateway.process is None or gateway.process.poll() is not None:
             record.say("the gateway ended by itself")
             return 1
@@ -183,10 +169,9 @@
         )
         return 1 if lost else 0
     finally:
-        for task in tasks:
-            task.cancel()
-        for client in load:
-            client.close()
+        if burst is not None and burst.poll() is None:
+            burst.kill()
+            burst.wait()
         gateway.end()
         for engine in engines:
             engine.close()
--- a/review/2/burst.py
+++ b/review/common/burst.py
@@ -1,4 +1,6 @@
-"""The bad client: hundreds of requests at once, over many connections. It reads whatever is sent to it.
+"""A bad client: hundreds of requests at once, over many connections. It reads whatever is sent to it.
+
+Arguments: the gateway's port, the time limit in milliseconds, the number of connections, the requests on each.
 
 Each request is well formed: a class of the settings, an id of its own, a statement of some 16 kB.
 """
@@ -11,14 +13,9 @@
 import sys
 import threading
 import time
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from standins import request  # noqa: E402
+from standins import request
 
-CONNECTIONS = 60
-REQUESTS_EACH = 12
 STATEMENT_BYTES = 15_900
 READ_FOR_S = 45.0
 
@@ -37,13 +34,13 @@
 
 
 def main() -> None:
-    port, allow_ms = int(sys.argv[1]), sys.argv[2]
+    port, allow_ms, connections, requests_each = int(sys.argv[1]), sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
     body = statement()
     opened, messages = [], []
-    for connection in range(CONNECTIONS):
+    for connection in range(connections):
         parts = []
-        for number in range(REQUESTS_EACH):
-            ref = f"{0xBAD00000 + connection * REQUESTS_EACH + number:016x}"
+        for number in range(requests_each):
+            ref = f"{0xBAD00000 + connection * requests_each + number:016x}"
             fields = {"service": "consulta-stock", "ref": ref, "allow": allow_ms, "effort": "20", "space": "20"}
             parts.append(request(number + 1, fields, body))
         messages.append(b"".join(parts))
@@ -56,7 +53,7 @@
         thread.start()
     for thread in threads:
         thread.join()
-    total = len(messages) * REQUESTS_EACH
+    total = len(messages) * requests_each
     print(f"burst sent requests={total} bytes={sum(map(len, messages))} in_s={time.monotonic() - started:.2f}",
           flush=True)
     selector = selectors.DefaultSelector()
