--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,13 +23,13 @@
 LATE_S = 0.5 + 0.05
 """STANDING: up to half a second after its time an answer only earns nothing; PROTOCOL: each limit is 50 ms longer."""
 CLIENTS, INTERVAL_S = 10, 0.5
-LOAD_CLIENTS, LOAD_INTERVAL_S = 10, 1.0
+LOAD_CLIENTS, LOAD_INTERVAL_S = 25, 1.0
 LOAD_ALLOW_MS, LOAD_PATIENCE_S = 20_000, (2.0, 14.0)
 """80% of the class's 25 s; and after how long a client withdraws a load that was not answered."""
 BEGIN_S, SLACK_S = 0.1, 0.05
 """STANDING: an attempt that begins more than 0.1 s after its client has gone is a break; and the 50 ms above."""
 BURST_AT_S, SEND_FOR_S = 3.0, 18.0
-BURST = (60, 12)
+BURST = (80, 12)
 """Connections, and requests at once on each."""
 
 SETTINGS = {
