Shutdown: requests that were written before the cutoff are all answered

Cause: one read of 64 kB decided what had come in time. What lay behind it was taken for late, and ClientConnection.end discarded it as soon as no request was open. Evidence: with requests that are answered at once, the connection ended after the first read (test_drivers); with processes, 19 of 26 answers came (test_crossings). Both new tests failed on the code before and pass now.

Now a socket counts as empty only after a read found it empty (unread_input.py). Until then a draining connection accepts queries; it is ended after one more empty read, 50 ms after the last read that was cut at its limit, and after 3 s at the latest. Four tests of the driver now deliver input through the transport's reads, as the judgement no longer happens within the call; they check the same.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import struct
+import threading
 import time
 
 import pytest
@@ -247,6 +248,33 @@
     assert gateway.process.wait(30) == 0
 
 
+def test_queries_written_in_the_accepting_period_of_a_drain_are_all_answered(started):
+    """What one read did not return counted as late, and was discarded once no query was open."""
+    engine = started.engine(send_result)
+    gateway = started(member(engine))
+    clients = [connect_client(gateway) for _ in range(8)]
+    body = "SELECT a FROM sales_1.t WHERE x IN (" + "1," * 30_000 + "1)"
+
+    def ask(number, client):
+        for stream in range(1, 27):
+            client.ask(stream, f"{number}{stream:02}", body=body)
+
+    gateway.process.send_signal(signal.SIGTERM)
+    for client in clients:
+        assert client.read() == (64, 0, b"")
+    asking = [threading.Thread(target=ask, args=numbered) for numbered in enumerate(clients)]
+    for thread in asking:
+        thread.start()
+    for thread in asking:
+        thread.join()
+    for client in clients:
+        received = [client.read() for _ in range(27)]
+        assert (
+            received[-1] in (None, (64, 0, b"")) and len({one[1] for one in received if one and one[1]}) == 26
+        )
+    assert gateway.process.wait(30) == 0
+
+
 def test_repeated_termination_and_reload_signals_cause_one_drain(started):
     pending = []
     engine = started.engine(lambda e, c, i: pending.append((c, i)))
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -41,10 +41,19 @@
 
 
 class FakeTransport(StringTransport):
-    """A transport that sends its bytes and closes only when the test says so."""
+    """A transport that sends its bytes and closes only when the test says so.
+
+    Attributes:
+        unread: The input in the socket of a client; one read takes one item.
+        client: The client connection that reads, if it is one.
+    """
 
     aborted = False
 
+    def __init__(self, client=None):
+        super().__init__()
+        self.unread, self.client = [], client
+
     def setTcpNoDelay(self, _):
         pass
 
@@ -57,7 +66,13 @@
         self.writes += 1
 
     def doRead(self):
-        pass
+        if self.client is None:
+            return
+        if self.unread:
+            self.client.dataReceived(self.unread.pop(0))
+            self.client.read_limit_reached()
+        else:
+            self.client.socket_emptied()
 
     def abortConnection(self):
         self.aborted = True
@@ -418,17 +433,27 @@
 
     def connect_client(self):
         """Connects a client. Returns its connection and its transport."""
-        protocol, transport = self.clients.buildProtocol(None), FakeTransport()
+        protocol = self.clients.buildProtocol(None)
+        transport = FakeTransport(protocol)
         protocol.makeConnection(transport)
         return protocol, transport
 
     def next_pass(self):
-        """Simulates an event-loop pass without input, and begins the next one."""
+        """Simulates a pass that finds the socket of the current client empty, and begins the next one."""
+        self.client.socket_emptied()
+        self.next_poll()
+
+    def next_poll(self):
+        """Simulates an event-loop pass that reads nothing."""
         self.clock.previous_poll_at = self.clock.now()
-        self.clock.loop_passes += 2
+        self.clock.loop_passes += 1
 
     def send_query(self, stream, body=b"S", **other_fields):
         """Sends a query from the current client, with `other_fields` in addition to the usual ones."""
+        self.client.dataReceived(self.query(stream, body, **other_fields))
+
+    def query(self, stream, body=b"S", kind=FrameKind.REQUEST, **other_fields):
+        """Returns the frame of a query; `kind` makes it a frame of another kind."""
         fields = {
             "service": "look",
             "ref": f"{stream:016x}",
@@ -439,7 +464,7 @@
         payload = bytes((len(fields),)) + b"".join(
             bytes((len(n),)) + n.encode() + len(v).to_bytes(2, "big") + v.encode() for n, v in fields.items()
         )
-        self.client.dataReceived(frames.encode_frame(FrameKind.REQUEST, stream, payload + body))
+        return frames.encode_frame(kind, stream, payload + body)
 
     def advance(self, duration):
         for _ in range(round(duration * 100)):
@@ -476,8 +501,9 @@
     head = frames.encode_frame(FrameKind.REQUEST, 1, b"\0" + b"x" * 70_000)
     harness.client.dataReceived(head[:65536])
     harness.time += 6.0
-    harness.next_pass()  # the next pass; the rest was in the socket all the time
+    harness.next_poll()  # the rest was in the socket all the time
     harness.client.dataReceived(head[65536:])
+    harness.next_pass()
     harness.send_query(2)
     assert harness.answers()[0] == (1, AnswerStatus.FAILED)
     harness.advance(0.1)
@@ -490,13 +516,9 @@
     A pass of 70 ms delayed the deadlines on a new connection by as much.
     """
     harness = ServiceHarness()
-    harness.clock.loop_passes += 1
     harness.client, harness.transport = harness.connect_client()  # accepted in a long pass
     harness.time += 6.0
-    harness.clock.previous_poll_at, harness.clock.loop_passes = (
-        harness.clock.now(),
-        harness.clock.loop_passes + 1,
-    )
+    harness.next_poll()
     # The query is read in the next pass, so it may have been sent before the client was accepted.
     harness.send_query(1)
     assert harness.answers() == [(1, AnswerStatus.REJECTED)]
@@ -833,6 +855,7 @@
     harness.client.send_go_away()
     harness.send_query(2)
     harness.client.end_when_answered()
+    harness.reactor.advance(0)  # the socket is found empty
     assert harness.service.queries.open_count == 2 and not harness.transport.disconnecting
     harness.send_query(3)
     assert harness.answers()[1:] == [(3, AnswerStatus.REJECTED)] and harness.service.queries.open_count == 2
@@ -844,11 +867,50 @@
 def test_draining_connection_accepts_a_query_that_arrived_before_the_cutoff():
     """After a long pass the query is still unread when the timer that ends idle connections fires."""
     harness = ServiceHarness()
-    harness.transport.doRead = lambda: harness.send_query(1)
+    harness.transport.unread = [harness.query(1)]
     harness.client.end_when_answered()
+    harness.reactor.advance(0)
     assert harness.service.queries.open_count == 1 and not harness.transport.disconnecting
 
 
+def test_draining_connection_answers_all_queries_that_several_reads_return():
+    """What lay behind the first read counted as late, and was discarded once no query was open."""
+    harness = ServiceHarness()
+    harness.transport.unread = [harness.query(stream, service="unknown") for stream in range(1, 9)]
+    harness.client.end_when_answered()
+    for _ in range(10):
+        harness.advance(0.01)
+    assert harness.answers() == [(stream, AnswerStatus.FAILED) for stream in range(1, 9)]
+    harness.advance(0.1)
+    assert harness.transport.disconnecting
+
+
+def test_draining_connection_answers_a_query_whose_beginning_arrived_before_the_cutoff():
+    """Its connection was ended between its two parts, as no query was open; the rest was discarded."""
+    harness = ServiceHarness()
+    first_part, rest = harness.query(1, b"S" * 1000)[:500], harness.query(1, b"S" * 1000)[500:]
+    harness.transport.unread = [first_part]
+    harness.client.end_when_answered()
+    harness.advance(0.5)
+    assert not harness.transport.disconnecting
+    harness.client.dataReceived(rest + harness.query(2))
+    assert harness.service.queries.open_count == 1  # the second one is late
+    assert harness.answers() == [(2, AnswerStatus.REJECTED)]
+
+
+def test_draining_connection_of_a_client_that_never_stops_sending_is_ended():
+    """Reading all that has arrived must not keep the process from ending."""
+    harness = ServiceHarness()
+    harness.send_query(1, service="unknown")
+    harness.transport.doRead = lambda: None  # no read finds the socket empty
+    harness.clients.read_soon = lambda connection: None
+    harness.client.end_when_answered()
+    harness.advance(2.9)
+    assert not harness.transport.disconnecting
+    harness.advance(0.2)
+    assert harness.transport.disconnecting
+
+
 class FailingOnShutdown(Extension):
     """An extension that raises when draining, stopping and reloading settings."""
 
--- a/vanerelay/net/accepting_port.py
+++ b/vanerelay/net/accepting_port.py
@@ -42,13 +42,15 @@
             except OSError as error:
                 if error.errno == errno.EINTR:
                     continue
-                return None if error.errno in WOULD_BLOCK_ERRNOS else CONNECTION_LOST
+                if error.errno not in WOULD_BLOCK_ERRNOS:
+                    return CONNECTION_LOST
+                self.protocol.socket_emptied()
+                return None
             result = self._dataReceived(data)
             if result is not None or self.disconnected:
                 return result
             remaining -= len(data)
-        if remaining <= 0:
-            self.protocol.read_limit_reached()
+        self.protocol.read_limit_reached()
         return None
 
 
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 from typing import Protocol as Interface
@@ -23,6 +25,7 @@
 from vanerelay.net.events import EventLog, LogEventKind
 from vanerelay.net.frames import FrameKind
 from vanerelay.net.rate_limited_log import RateLimitedLog
+from vanerelay.net.unread_input import UnreadInput
 
 CLIENT_IDLE_TIMEOUT_S = 4.0
 """Clients close a connection that has been idle for this long. A client that reads nothing for as long is
@@ -34,6 +37,16 @@
 """
 FLUSH_TIMEOUT_S = 0.1
 """The time allowed for unsent bytes to leave before a connection that is being closed is aborted."""
+IN_TRANSIT_S = 0.05
+"""After more input than one read takes, the connection is not ended for this long.
+
+While the receive buffer of the system was full, further input could not leave the client's machine.
+"""
+DRAIN_TIMEOUT_S = 3.0
+"""The time after which a draining connection is ended even if its client sends without a pause.
+
+The platform may kill the process after the longest deadline, counted as 3 s at most.
+"""
 MAX_UNSENT_BYTES = 262_144
 """The unsent bytes of answers past which further queries of a client that does not read are rejected."""
 
@@ -50,6 +63,15 @@
     """Answered with an error, as no engine could have executed the request."""
 
 
+class DrainStage(Enum):
+    """The progress of a connection that is ended once no request is open."""
+
+    NOT_DRAINING = "not draining"
+    READING = "handling the requests that have arrived"
+    LAST_FRAME = "handling a request that has arrived in part"
+    REJECTING = "rejecting further requests"
+
+
 class OpenRequest(Interface):
     """A request that has not been answered, as the connection driver uses it."""
 
@@ -112,6 +134,9 @@
     def linger(self, connection: ClientConnection) -> None:
         """Registers that the write side is closed. The descriptor is held until the client closes too."""
 
+    def read_soon(self, connection: ClientConnection) -> None:
+        """Reads the connection soon, but not within this call."""
+
     def remove(self, connection: ClientConnection) -> None:
         """Removes a connection that is closed."""
 
@@ -136,12 +161,16 @@
         self.used_at = owner.reactor.seconds()
         self.silent = True
         self.ended = False
-        # Input that is read in the event-loop passes up to this one may have arrived before the previous poll
-        # of the sockets, but not before this time.
-        self._earlier_received_after = 0
-        self._earlier_until_pass = -1
+        # The client may have sent input before it was accepted, when its socket was not yet polled.
+        self._unread = UnreadInput(owner.clock, owner.connected_after())
+        self._more_unread_at = (
+            -math.inf
+        )  # when a read last stopped at its size limit, in seconds of the reactor
         self._go_away_sent = False
-        self._closing_when_answered = False  # ends once no request is open
+        self._drain_stage = DrainStage.NOT_DRAINING
+        self._drain_timer: Any = None
+        self._drain_overdue = False
+        self._end_check_pending = False
         self._dropping_input = False
         self._lost = False
         self._abort_timer: Any = None  # runs while the client reads nothing
@@ -153,8 +182,6 @@
     def connectionMade(self) -> None:
         """Registers with the listener, or ends the connection if no descriptor can be spared."""
         self.transport.setTcpNoDelay(True)
-        # The client may have sent input before it was accepted, when its socket was not yet polled.
-        self._set_received_after(self._owner.connected_after())
         # The transport calls pauseProducing when its write buffer is full, and resumeProducing when it has
         # drained.
         self.transport.registerProducer(self, True)
@@ -163,35 +190,47 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes frames and handles the requests in them."""
-        received_after = self.received_after()
-        if len(data) >= self.transport.bufferSize:
-            self.read_limit_reached()
+        received_after = self._unread.received_after
+        self._unread.mark_read()
         self._read(data, received_after)
         self._expect_frame()
+        self._end_if_answered()
 
     def read_limit_reached(self) -> None:
-        """Records that a read stopped at its size limit.
+        """Records that a read stopped at its size limit: input may still be in the socket."""
+        self._more_unread_at = self._owner.reactor.seconds()
+
+    def socket_emptied(self) -> None:
+        """Records that a read found the socket empty."""
+        self._unread.mark_empty()
 
-        Input that is still in the socket arrived as early as the input that was read.
+    def after_reading(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once all input that has arrived by now is handled, or once the connection is lost.
+
+        It is not called within this call.
         """
-        self._set_received_after(self.received_after())
+        if self._lost:
+            self._owner.reactor.callLater(0, callback)
+            return
+        self._unread.call_when_empty(callback)
+        self._owner.read_soon(self)
+
+    def read_once(self) -> None:
+        """Reads input that is in the socket, up to the size limit of one read."""
+        if self._lost:
+            return
+        # An error or the end of the connection is reported again by the next poll, which handles it.
+        has_ended = self.transport.doRead() is not None
+        if not has_ended and not self._lost and self._unread.has_waiting_callbacks:
+            self._owner.read_soon(self)
 
     def _expect_frame(self) -> None:
         frame_expected = self.silent or self._reader.partial
         self._owner.expect_frame(self, frame_expected and not self._dropping_input)
 
-    def _set_received_after(self, received_after: int) -> None:
-        self._earlier_received_after = received_after
-        self._earlier_until_pass = self._owner.clock.loop_passes + 1
-
     def received_after(self) -> int:
         """Returns a time before which the input that is read now had not arrived."""
-        clock = self._owner.clock
-        return (
-            self._earlier_received_after
-            if clock.loop_passes <= self._earlier_until_pass
-            else clock.previous_poll_at
-        )
+        return self._unread.received_after
 
     def _read(self, data: bytes, received_after: int) -> None:
         for frame in () if self._dropping_input else self._reader.feed(data):
@@ -206,6 +245,8 @@
                 log.exception("handling a client's frame failed")
                 if frame.kind == FrameKind.REQUEST:
                     self.answer(frame.stream, AnswerStatus.FAILED, {}, b"")
+            if self._drain_stage is DrainStage.LAST_FRAME:
+                self._drain_stage = DrainStage.REJECTING
 
     def _handle(self, frame: frames.Frame, received_after: int) -> None:
         self._owner.mark_used(self)
@@ -216,8 +257,7 @@
             request = self.open.pop(frame.stream, None)
             if request is not None:
                 request.abandon()
-            self._end_if_answered()
-        elif self._closing_when_answered or self._congested and self._unsent > MAX_UNSENT_BYTES:
+        elif self._drain_stage is DrainStage.REJECTING or self._congested and self._unsent > MAX_UNSENT_BYTES:
             self._write(frames.encode_answer(FrameKind.ANSWER, frame.stream, AnswerStatus.REJECTED, {}))
         elif len(self.open) >= frames.MAX_OPEN_REQUESTS:
             self._write(frames.encode_answer(FrameKind.ANSWER, frame.stream, AnswerStatus.REJECTED, {}))
@@ -288,13 +328,44 @@
     def end_when_answered(self) -> None:
         """Ends the connection once no request is open.
 
-        Requests that have arrived by now are handled. Later ones are rejected at once, as there may be too
-        little time left to answer them.
+        Requests in the input that has arrived by now are handled, however much it is. Later ones are rejected
+        at once, as there may be too little time left to answer them.
         """
-        self.read_waiting()
-        self._closing_when_answered = True
+        if self._drain_stage is not DrainStage.NOT_DRAINING:
+            return
+        self._drain_stage = DrainStage.READING
+        self._drain_timer = self._owner.reactor.callLater(DRAIN_TIMEOUT_S, self._drain_timed_out)
+        self.after_reading(self._reject_further_requests)
+        self._end_if_answered()
+
+    def _reject_further_requests(self) -> None:
+        self._drain_stage = DrainStage.LAST_FRAME if self._reader.partial else DrainStage.REJECTING
+
+    def _drain_timed_out(self) -> None:
+        self._drain_overdue = True
         self._end_if_answered()
 
+    def _end_if_answered(self) -> None:
+        """Ends a draining connection on which no request is open, once its input has been read."""
+        if self._drain_stage is DrainStage.NOT_DRAINING or self.open or self.ended:
+            return
+        if self._drain_overdue:
+            self.end("shutdown")
+        elif not self._end_check_pending:
+            self._end_check_pending = True
+            self.after_reading(self._end_if_unused)
+
+    def _end_if_unused(self) -> None:
+        self._end_check_pending = False
+        if self.open or self.ended or self._lost or self._reader.partial:
+            return  # checked again when a request is answered or more input is read
+        in_transit_s = self._more_unread_at + IN_TRANSIT_S - self._owner.reactor.seconds()
+        if in_transit_s <= 0:
+            self.end("shutdown")
+            return
+        self._end_check_pending = True
+        self._owner.reactor.callLater(in_transit_s, self.after_reading, self._end_if_unused)
+
     def end(self, why: str, detail: str = "") -> None:
         """Closes the write side once all answers have been sent.
 
@@ -331,10 +402,6 @@
         if not self._dropping_input and not self._lost:
             self.transport.doRead()
 
-    def _end_if_answered(self) -> None:
-        if self._closing_when_answered and not self.open:
-            self.end("shutdown")
-
     def pauseProducing(self) -> None:
         """Called when the write buffer of the transport is full.
 
@@ -363,10 +430,10 @@
     def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
         """Abandons all open requests, as nobody waits for their answers."""
         self._lost = True
-        for timer in (self._abort_timer, self._linger_timer):
+        for timer in (self._abort_timer, self._linger_timer, self._drain_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        self._abort_timer = self._linger_timer = None
+        self._abort_timer = self._linger_timer = self._drain_timer = None
         self._reader.stop()
         self._owner.remove(self)
         if not self.ended:
@@ -375,3 +442,4 @@
         abandoned, self.open = list(self.open.values()), {}
         for request in abandoned:
             self._abandon(request)
+        self._unread.call_waiting()
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -16,6 +16,7 @@
 from vanerelay.net.client_connection import CLIENT_IDLE_TIMEOUT_S, ClientConnection, QueryService
 from vanerelay.net.events import EventLog
 from vanerelay.net.rate_limited_log import RateLimitedLog
+from vanerelay.net.read_queue import ReadQueue
 
 UNUSED_TIMEOUT_S = 2 * CLIENT_IDLE_TIMEOUT_S
 """A connection without an open request that is unused for this long is ended. Clients close idle connections
@@ -62,6 +63,7 @@
         self._connections: OrderedDict[ClientConnection, None] = OrderedDict()
         self._lingering: OrderedDict[ClientConnection, None] = OrderedDict()
         self._frame_due: OrderedDict[ClientConnection, float] = OrderedDict()
+        self._read_queue = ReadQueue(reactor)
         self._port: Any = None
         self._accept_failed_at: int | None = None
         self.protocol_errors = RateLimitedLog(reactor, "client protocol error")
@@ -197,8 +199,13 @@
             if not connection.open and not connection.ended:
                 connection.end("idle")
 
+    def read_soon(self, connection: ClientConnection) -> None:
+        """Reads the connection soon, but not within this call."""
+        self._read_queue.add(connection)
+
     def remove(self, connection: ClientConnection) -> None:
         """Removes a connection that is closed."""
+        self._read_queue.discard(connection)
         self._connections.pop(connection, None)
         self._frame_due.pop(connection, None)
         self._lingering.pop(connection, None)
