Client listener: connections are read before they are judged idle or overdue

Evidence: three new tests in test_drivers (idle, overdue frame, ended for its descriptor) failed on the code before and pass now.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -778,6 +778,48 @@
     assert harness.service.queries.open_count == 1
 
 
+def test_resting_client_whose_query_lies_unread_is_not_ended_as_idle():
+    """After a long pass the sweep ran before the poll, and its end of the connection discarded the query."""
+    harness = ServiceHarness()
+    harness.send_query(1, service="unknown")
+    harness.next_pass()
+    harness.advance(7.9)
+    assert not harness.transport.disconnecting
+    harness.next_pass()
+    query = harness.query(2, b"S" * 9000)
+    harness.transport.unread = [query[:8000], query[8000:]]
+    harness.advance(1.0)
+    assert harness.service.queries.open_count == 1 and not harness.transport.disconnecting
+    harness.advance(14.0)
+    assert harness.transport.disconnecting  # idle by now
+
+
+def test_client_whose_frame_is_complete_in_the_socket_is_not_ended_as_overdue():
+    """After a long pass the timeout of the frame was judged before its rest had been read."""
+    harness = ServiceHarness()
+    harness.client.dataReceived(harness.query(1)[:20])
+    harness.time += 3.0  # a long pass
+    harness.transport.unread = [harness.query(1)[20:]]
+    harness.reactor.advance(3.0)
+    assert harness.service.queries.open_count == 1 and not harness.transport.disconnecting
+
+
+def test_client_whose_query_lies_unread_is_not_ended_for_its_descriptor():
+    """The client that was idle for longest was ended unread when a further one was accepted."""
+    harness = ServiceHarness()  # at most three clients
+    harness.send_query(1, service="unknown")
+    harness.next_pass()
+    second, second_transport = harness.connect_client()
+    second.dataReceived(harness.query(1, service="unknown", ref=f"{7:016x}"))
+    second.socket_emptied()
+    harness.connect_client()[0].dataReceived(harness.query(1, ref=f"{8:016x}"))
+    harness.advance(0.3)
+    harness.transport.unread = [harness.query(2)]
+    harness.connect_client()
+    assert second_transport.disconnecting and not harness.transport.disconnecting
+    assert harness.service.queries.open_count == 2
+
+
 def test_removed_engines_leave_no_state():
     """Engine ids are never reused, addresses are: state that is not removed accumulates over a long run."""
     harness = ServiceHarness()
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -357,7 +357,7 @@
 
     def _end_if_unused(self) -> None:
         self._end_check_pending = False
-        if self.open or self.ended or self._lost or self._reader.partial:
+        if not self.is_resting:
             return  # checked again when a request is answered or more input is read
         in_transit_s = self._more_unread_at + IN_TRANSIT_S - self._owner.reactor.seconds()
         if in_transit_s <= 0:
@@ -397,10 +397,22 @@
                 FLUSH_TIMEOUT_S, self.transport.abortConnection
             )
 
-    def read_waiting(self) -> None:
-        """Reads input that is still in the socket, before the connection is judged to be idle."""
-        if not self._dropping_input and not self._lost:
-            self.transport.doRead()
+    def read_waiting(self) -> bool:
+        """Reads the input in the socket, up to the size of a frame. Returns True if the socket is empty.
+
+        False also if the connection has ended or is lost.
+        """
+        for _ in range(math.ceil(frames.MAX_LENGTH / self.transport.bufferSize) + 1):
+            if self._dropping_input or self._lost or self.transport.doRead() is not None:
+                return False
+            if self._unread.is_empty:
+                return True
+        return False
+
+    @property
+    def is_resting(self) -> bool:
+        """True if no request is open or has arrived in part, on a connection that is not being ended."""
+        return not self.open and not self._reader.partial and not self.ended and not self._lost
 
     def pauseProducing(self) -> None:
         """Called when the write buffer of the transport is full.
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
@@ -64,6 +65,7 @@
         self._lingering: OrderedDict[ClientConnection, None] = OrderedDict()
         self._frame_due: OrderedDict[ClientConnection, float] = OrderedDict()
         self._read_queue = ReadQueue(reactor)
+        self._being_judged: set[ClientConnection] = set()
         self._port: Any = None
         self._accept_failed_at: int | None = None
         self.protocol_errors = RateLimitedLog(reactor, "client protocol error")
@@ -124,20 +126,25 @@
         """Ends a connection that has never sent a frame, unless it is new. Returns True if one was ended.
 
         Silent connections are ended before those that have been used, as clients open hundreds that send
-        nothing. The socket is read once more first, as the first request may be waiting there.
+        nothing. The socket is read first, as the first request may be waiting there.
         """
-        silent = next((other for other in self._frame_due if other.silent), None)
-        if silent is None or silent.used_at >= new_since:
-            return False
-        silent.read_waiting()
-        if not silent.silent:
-            return False
-        silent.end("no request sent, descriptor needed for another connection")
-        return True
+        for silent in list(self._frame_due):
+            if silent.silent:
+                if silent.used_at >= new_since:
+                    return False
+                if silent.read_waiting() and silent.silent and not silent.ended:
+                    silent.end("no request sent, descriptor needed for another connection")
+                    return True
+        return False
 
     def _longest_idle(self, new_since: float) -> ClientConnection | None:
-        for connection in self._connections:
-            if not connection.open and (not connection.silent or connection.used_at < new_since):
+        """Returns the connection that was unused for longest, after reading it; None if none is idle."""
+        for connection in list(self._connections):
+            if connection.open or connection.silent and connection.used_at >= new_since:
+                continue
+            used_at = connection.used_at
+            has_no_input = connection.read_waiting()
+            if has_no_input and connection.is_resting and connection.used_at == used_at:
                 return connection
         return None
 
@@ -187,17 +194,51 @@
             self._frame_due[connection] = self.reactor.seconds() + FRAME_TIMEOUT_S
 
     def _sweep(self) -> None:
-        """Ends connections whose frame is overdue, and those that are unused."""
-        now = self.reactor.seconds()
+        """Ends connections whose frame is overdue, and those that are unused, after reading them."""
         self.reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
-        while self._frame_due and next(iter(self._frame_due.values())) <= now:
-            connection, _ = self._frame_due.popitem(last=False)
-            connection.end_with_protocol_error("no complete frame in time")
+        now = self.reactor.seconds()
+        for connection, due_at in list(self._frame_due.items()):
+            if due_at > now:
+                break
+            self._judge_after_reading(connection, self._end_if_overdue)
         for connection in list(self._connections):
             if now - connection.used_at < UNUSED_TIMEOUT_S:
                 break
             if not connection.open and not connection.ended:
-                connection.end("idle")
+                self._judge_after_reading(connection, self._end_if_unused)
+
+    def _judge_after_reading(
+        self, connection: ClientConnection, judge: Callable[[ClientConnection], None]
+    ) -> None:
+        """Calls `judge` once all input of the connection is read.
+
+        After a long pass of the event loop, or a stall of the process, what the connection is judged by may
+        still lie in its socket.
+        """
+        if connection in self._being_judged:
+            return
+        self._being_judged.add(connection)
+
+        def judge_now() -> None:
+            self._being_judged.discard(connection)
+            judge(connection)
+
+        connection.after_reading(judge_now)
+
+    def _end_if_overdue(self, connection: ClientConnection) -> None:
+        """Ends a connection whose frame is still overdue."""
+        if self._frame_due.get(connection, math.inf) <= self.reactor.seconds():
+            del self._frame_due[connection]
+            connection.end_with_protocol_error("no complete frame in time")
+
+    def _end_if_unused(self, connection: ClientConnection) -> None:
+        """Ends a connection that is still unused."""
+        if (
+            connection in self._connections
+            and connection.is_resting
+            and self.reactor.seconds() - connection.used_at >= UNUSED_TIMEOUT_S
+        ):
+            connection.end("idle")
 
     def read_soon(self, connection: ClientConnection) -> None:
         """Reads the connection soon, but not within this call."""
