Statements: the scan for the table group ends early and skips lists of values

Callers beside a burst of 960 statements of 16 kB waited up to 8.5 s: each statement took 10 to 23 ms on the event loop, as each comma and number of its list became a token.

Now a list of values is one match, tokens are read on demand, the scan ends with the first written table (or the first read one, if no keyword of a write occurs) and after 2,048 tokens.

--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,10 +11,10 @@
 from vanerelay.clock import Clock
 from vanerelay.engine_list import EngineListChange
 from vanerelay.interface import NEVER_RAN, EngineState, Outcome, ProgressKind
-from vanerelay.net import discovery_codec, frames, resp_codec
+from vanerelay.net import discovery_codec, frames, resp_codec, statements
 from vanerelay.net.buffers import BLOCK_BYTES, BufferPool, ReceiveBuffer
 from vanerelay.net.frames import FrameKind
-from vanerelay.net.statements import table_group, table_groups
+from vanerelay.net.statements import MAX_TOKENS, table_group, table_groups
 
 
 def pieces(data, size):
@@ -552,6 +552,30 @@
     assert table_group(f"SELECT *{before} FROM a_1.t WHERE x IN ({after}1)") == group
 
 
+@pytest.mark.parametrize(
+    ("beginning", "part", "group", "max_tokens"),
+    [
+        ("SELECT a FROM sales_17.orders WHERE box IN (", "1, ", 17, 64),
+        ("SELECT a FROM sales_17.orders WHERE box IN (", "'into', ", 17, 64),
+        ("SELECT a FROM sales_17.orders WHERE x = 'into' AND y IN (", "(1, 2), ", 17, MAX_TOKENS),
+        ("SELECT ", "(", 0, MAX_TOKENS),
+        ("SELECT into ", "from ", 0, MAX_TOKENS),
+    ],
+)
+def test_scan_for_the_table_group_is_bounded(monkeypatch, beginning, part, group, max_tokens):
+    """Guards against 10 to 20 ms for a statement of 16 kB: a burst blocked the event loop for seconds."""
+    scanned, tokens = [], statements._tokens
+
+    def count(statement):
+        for token in tokens(statement):
+            scanned.append(token)
+            yield token
+
+    monkeypatch.setattr(statements, "_tokens", count)
+    assert table_group(beginning + part * (BLOCK_BYTES // len(part))) == group
+    assert len(scanned) <= max_tokens
+
+
 # Time.
 
 
--- a/vanerelay/net/statements.py
+++ b/vanerelay/net/statements.py
@@ -6,13 +6,19 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
+from itertools import islice
 
 from vanerelay.net.buffers import BLOCK_BYTES
 
-# White space, comments and strings are part of the match of the token after them: a match for each of them
-# took a quarter of the CPU time of a gateway.
+MAX_TOKENS = 2_048
+"""The tokens that are scanned for the table group: the table stands near the beginning."""
+_TOKENS_AT_ONCE = 64
+_VALUE = r"""[-+]?(?:\d[\w.]*+|'(?:[^']|'')*+')"""
+# White space, comments, strings and lists of values are part of the match of the token after them: a match
+# for each of them took a quarter of the CPU time of a gateway, and a long list of values 10 ms.
 _TOKEN_PATTERN = re.compile(
-    r"""(?:\s+|--[^\n]*|/\*.*?(?:\*/|\Z)|'(?:[^']|'')*(?:'|\Z))*+"""
+    rf"""(?:\s+|{_VALUE}(?:\s*+,\s*+{_VALUE})++|--[^\n]*|/\*.*?(?:\*/|\Z)|'(?:[^']|'')*(?:'|\Z))*+"""
     r"""(?:("(?:[^"]|"")*(?:"|\Z))|([^\W\d]\w*)|(\d\w*|[=<>+%|&!;:?]+|.)|\Z)""",
     re.DOTALL,
 )
@@ -53,23 +59,23 @@
 _FILLER_KEYWORDS = {"only", "lateral", "if", "not", "exists", "table"}
 
 
-def _tokens(statement: str) -> list[tuple[str, str]]:
-    """Returns the kind and the text of each token: `word`, `name` (a quoted name), or empty for all else."""
-    return [
-        ("word", word)
-        if word
-        else ("", other)
-        if other
-        else ("name", quoted[1:].removesuffix('"').replace('""', '"'))
-        for quoted, word, other in _TOKEN_PATTERN.findall(statement)
-        if quoted or word or other
-    ]
+def _tokens(statement: str) -> Iterator[tuple[str, str]]:
+    """Yields the kind and the text of each token: `word`, `name` (a quoted name), or empty for all else."""
+    for match in _TOKEN_PATTERN.finditer(statement):
+        quoted, word, other = match.groups()
+        if word:
+            yield "word", word
+        elif other:
+            yield "", other
+        elif quoted:
+            yield "name", quoted[1:].removesuffix('"').replace('""', '"')
 
 
 def schema_numbers(statement: str) -> tuple[list[int], list[int]]:
     """Returns the schema numbers of all tables that the statement writes, and of those that it reads."""
     scanner = _TableScanner(_tokens(statement))
-    scanner.run()
+    while scanner.scan_token():
+        pass
     return scanner.written, scanner.read
 
 
@@ -81,9 +87,11 @@
         read: The schema numbers of the tables that are read.
     """
 
-    def __init__(self, tokens: list[tuple[str, str]]) -> None:
+    def __init__(self, tokens: Iterator[tuple[str, str]]) -> None:
         self.written, self.read = list[int](), list[int]()
-        self._tokens = tokens
+        self._unread_tokens = tokens
+        self._tokens = list[tuple[str, str]]()
+        self._position = 0
         self._table_expected = False
         self._writing = False
         # For each open bracket: whether a list of tables continues, and whether the bracket belongs to a
@@ -92,23 +100,30 @@
         self._in_table_list = [False]
         self._in_function = [False]
 
-    def run(self) -> None:
-        """Scans all tokens."""
-        tokens, position = self._tokens, 0
-        while position < len(tokens):
-            kind, text = tokens[position]
-            word = text.lower() if kind == "word" else ""
-            if not self._table_expected and word not in _KEYWORDS and text not in _PUNCTUATION:
-                position += 1
-            elif word in _LIST_KEYWORDS or word in _SINGLE_KEYWORDS:
-                self._expect_table(word)
-                position += 1
-            elif self._table_expected and _may_name_table(kind, word):
-                position = self._record_table(position)
-            else:
-                before = tokens[position - 1][1].lower() if position else ""
-                self._handle_other(text, word, before)
-                position += 1
+    def scan_token(self) -> bool:
+        """Scans the next token, or table name. Returns False at the end of the statement."""
+        if not self._has_token(self._position):
+            return False
+        kind, text = self._tokens[self._position]
+        word = text.lower() if kind == "word" else ""
+        if not self._table_expected and word not in _KEYWORDS and text not in _PUNCTUATION:
+            self._position += 1
+        elif word in _LIST_KEYWORDS or word in _SINGLE_KEYWORDS:
+            self._expect_table(word)
+            self._position += 1
+        elif self._table_expected and _may_name_table(kind, word):
+            self._record_table()
+        else:
+            before = self._tokens[self._position - 1][1].lower() if self._position else ""
+            self._handle_other(text, word, before)
+            self._position += 1
+        return True
+
+    def _has_token(self, position: int) -> bool:
+        """Returns True if there is a token at this position, which is read if necessary."""
+        if position >= len(self._tokens):
+            self._tokens.extend(islice(self._unread_tokens, _TOKENS_AT_ONCE))
+        return position < len(self._tokens)
 
     def _expect_table(self, word: str) -> None:
         # In EXTRACT(x FROM y), TRIM(x FROM y) and SUBSTRING(x FROM y), FROM is followed by a column, not a
@@ -119,13 +134,25 @@
         self._table_expected = not names_column
         self._in_table_list[-1] = word in _LIST_KEYWORDS and not names_column
 
-    def _record_table(self, position: int) -> int:
-        """Records the table named at this token. Returns the position after its name."""
-        names, following = _dotted_name(self._tokens, position)
+    def _record_table(self) -> None:
+        """Records the table named at this token, and skips its name."""
+        names = self._read_dotted_name()
         if len(names) > 1:
             (self.written if self._writing else self.read).extend(_schema_number(names[-2]))
         self._table_expected = False
-        return following
+
+    def _read_dotted_name(self) -> list[str]:
+        """Returns the parts of the dotted name at this token, and skips it."""
+        names = [self._tokens[self._position][1]]
+        self._position += 1
+        while (
+            self._has_token(self._position + 1)
+            and self._tokens[self._position][1] == "."
+            and self._tokens[self._position + 1][0] in ("word", "name")
+        ):
+            names.append(self._tokens[self._position + 1][1])
+            self._position += 2
+        return names
 
     def _handle_other(self, text: str, word: str, before: str) -> None:
         if text == "(":
@@ -162,23 +189,16 @@
 def table_group(statement: str) -> int:
     """Returns the table group of a statement: the first that is written, else the first that is read, else 0.
 
-    Only the first `BLOCK_BYTES` characters are scanned: the table stands near the beginning, and the longest
-    statements would take half a second.
+    The scan ends with the answer, after `BLOCK_BYTES` characters or after `MAX_TOKENS` tokens: the table
+    stands near the beginning, and the longest statements would take half a second.
     """
-    return next(iter(table_groups(statement[:BLOCK_BYTES])), 0)
-
-
-def _dotted_name(tokens: list[tuple[str, str]], position: int) -> tuple[list[str], int]:
-    """Returns the parts of the dotted name at this token, and the position after it."""
-    names = [tokens[position][1]]
-    while (
-        position + 2 < len(tokens)
-        and tokens[position + 1][1] == "."
-        and tokens[position + 2][0] in ("word", "name")
-    ):
-        position += 2
-        names.append(tokens[position][1])
-    return names, position + 1
+    beginning = statement[:BLOCK_BYTES]
+    may_be_written = any(keyword in beginning.lower() for keyword in _WRITE_KEYWORDS)
+    scanner = _TableScanner(islice(_tokens(beginning), MAX_TOKENS))
+    while scanner.scan_token():
+        if scanner.written or scanner.read and not may_be_written:
+            break
+    return next(iter(scanner.written + scanner.read), 0)
 
 
 def _schema_number(schema: str) -> list[int]:
