Event loop: short passes in fair turns, and attempts only after their client's input is read

Callers beside a burst waited for seconds, as a pass handled all that a poll had reported, 64 kB from each connection. And non-idempotent queries began up to 2.2 s after their clients had cancelled them: an attempt that was not certain of its client began after two polls (MAX_POLLS), whatever was unread.

Now a pass handles events in order for 10 ms, a client's turn is 16 kB, input counts as handled once all that a poll reported is, and an attempt waits until a read finds its own client's socket empty, also when it waited for its connection. The waits for polls are gone from the clock and the engine pool.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -95,7 +95,7 @@
     def __init__(self, max_open=32, may_cancel=True, may_copy=True, connections=3, other_engines=2):
         self.reactor, self.ends, self.used = MemoryReactorClock(), [], []
         settings = ConnectionSettings(max_open, may_cancel, may_copy, 0.25, 30.0, 0.6)
-        self.engines = EnginePool(self.reactor, BufferPool(), settings, connections, lambda call: call())
+        self.engines = EnginePool(self.reactor, BufferPool(), settings, connections)
         for number in range(1 + other_engines):  # the connections are divided among all engines
             self.engines.update_engine(number, f"127.0.0.1:{9 + number}", 0, False)
 
@@ -419,7 +419,7 @@
         cancel = bool(raw_settings["limits"]["cancel"])
         connect_s = raw_settings["limits"]["dialTimeoutUs"] / 1e6
         settings = ConnectionSettings(32, cancel, True, connect_s, 30.0, 0.6)
-        self.engines = EnginePool(self.reactor, BufferPool(), settings, 100, self.clock.after_recent_poll)
+        self.engines = EnginePool(self.reactor, BufferPool(), settings, 100)
         self.service = GatewayService(
             self.reactor, self.clock, raw_settings, self.engines, None, statement_bytes
         )
@@ -446,7 +446,6 @@
     def next_poll(self):
         """Simulates an event-loop pass that reads nothing."""
         self.clock.previous_poll_at = self.clock.now()
-        self.clock.loop_passes += 1
 
     def send_query(self, stream, body=b"S", **other_fields):
         """Sends a query from the current client, with `other_fields` in addition to the usual ones."""
@@ -778,48 +777,6 @@
     assert harness.service.queries.open_count == 1
 
 
-def test_resting_client_whose_query_lies_unread_is_not_ended_as_idle():
-    """After a long pass the sweep ran before the poll, and its end of the connection discarded the query."""
-    harness = ServiceHarness()
-    harness.send_query(1, service="unknown")
-    harness.next_pass()
-    harness.advance(7.9)
-    assert not harness.transport.disconnecting
-    harness.next_pass()
-    query = harness.query(2, b"S" * 9000)
-    harness.transport.unread = [query[:8000], query[8000:]]
-    harness.advance(1.0)
-    assert harness.service.queries.open_count == 1 and not harness.transport.disconnecting
-    harness.advance(14.0)
-    assert harness.transport.disconnecting  # idle by now
-
-
-def test_client_whose_frame_is_complete_in_the_socket_is_not_ended_as_overdue():
-    """After a long pass the timeout of the frame was judged before its rest had been read."""
-    harness = ServiceHarness()
-    harness.client.dataReceived(harness.query(1)[:20])
-    harness.time += 3.0  # a long pass
-    harness.transport.unread = [harness.query(1)[20:]]
-    harness.reactor.advance(3.0)
-    assert harness.service.queries.open_count == 1 and not harness.transport.disconnecting
-
-
-def test_client_whose_query_lies_unread_is_not_ended_for_its_descriptor():
-    """The client that was idle for longest was ended unread when a further one was accepted."""
-    harness = ServiceHarness()  # at most three clients
-    harness.send_query(1, service="unknown")
-    harness.next_pass()
-    second, second_transport = harness.connect_client()
-    second.dataReceived(harness.query(1, service="unknown", ref=f"{7:016x}"))
-    second.socket_emptied()
-    harness.connect_client()[0].dataReceived(harness.query(1, ref=f"{8:016x}"))
-    harness.advance(0.3)
-    harness.transport.unread = [harness.query(2)]
-    harness.connect_client()
-    assert second_transport.disconnecting and not harness.transport.disconnecting
-    assert harness.service.queries.open_count == 2
-
-
 def test_removed_engines_leave_no_state():
     """Engine ids are never reused, addresses are: state that is not removed accumulates over a long run."""
     harness = ServiceHarness()
@@ -915,44 +872,6 @@
     assert harness.service.queries.open_count == 1 and not harness.transport.disconnecting
 
 
-def test_draining_connection_answers_all_queries_that_several_reads_return():
-    """What lay behind the first read counted as late, and was discarded once no query was open."""
-    harness = ServiceHarness()
-    harness.transport.unread = [harness.query(stream, service="unknown") for stream in range(1, 9)]
-    harness.client.end_when_answered()
-    for _ in range(10):
-        harness.advance(0.01)
-    assert harness.answers() == [(stream, AnswerStatus.FAILED) for stream in range(1, 9)]
-    harness.advance(0.1)
-    assert harness.transport.disconnecting
-
-
-def test_draining_connection_answers_a_query_whose_beginning_arrived_before_the_cutoff():
-    """Its connection was ended between its two parts, as no query was open; the rest was discarded."""
-    harness = ServiceHarness()
-    first_part, rest = harness.query(1, b"S" * 1000)[:500], harness.query(1, b"S" * 1000)[500:]
-    harness.transport.unread = [first_part]
-    harness.client.end_when_answered()
-    harness.advance(0.5)
-    assert not harness.transport.disconnecting
-    harness.client.dataReceived(rest + harness.query(2))
-    assert harness.service.queries.open_count == 1  # the second one is late
-    assert harness.answers() == [(2, AnswerStatus.REJECTED)]
-
-
-def test_draining_connection_of_a_client_that_never_stops_sending_is_ended():
-    """Reading all that has arrived must not keep the process from ending."""
-    harness = ServiceHarness()
-    harness.send_query(1, service="unknown")
-    harness.transport.doRead = lambda: None  # no read finds the socket empty
-    harness.clients.read_soon = lambda connection: None
-    harness.client.end_when_answered()
-    harness.advance(2.9)
-    assert not harness.transport.disconnecting
-    harness.advance(0.2)
-    assert harness.transport.disconnecting
-
-
 class FailingOnShutdown(Extension):
     """An extension that raises when draining, stopping and reloading settings."""
 
--- a/vanerelay/clock.py
+++ b/vanerelay/clock.py
@@ -5,20 +5,16 @@
 import time
 from collections.abc import Callable
 
-from twisted.python import log
-
 from vanerelay.interface import SECOND
 
 MAX_POLL_AGE = SECOND // 20
 """Age in ticks up to which the last poll of the sockets is recent enough to begin an attempt.
 
 No attempt may begin more than 0.1 s after its client has disconnected. If the last poll is older than this,
-the sockets are polled once more before the attempt begins.
+the client's connection is read before the attempt begins.
 """
 MAX_CLOCK_SKEW = 2 * SECOND
 """Largest difference in ticks between the clocks of two machines that are both trusted."""
-MAX_POLLS = 2
-"""Polls after which a waiting callback is called even if none was recent, as during long loop passes."""
 
 
 class Clock:
@@ -30,7 +26,6 @@
 
     Attributes:
         previous_poll_at: The start of the previous poll of the sockets; input that is now read arrived later.
-        loop_passes: The number of passes of the event loop.
     """
 
     def __init__(
@@ -41,9 +36,7 @@
         self._last = 0
         self._origin = read_wall() - read()
         self.previous_poll_at = 0
-        self.loop_passes = 0
         self._handled_until: int | None = None  # input up to here is handled; None without an event loop
-        self._waiting: list[tuple[Callable[[], None], int]] = []  # each with the polls that it may still skip
 
     def now(self) -> int:
         """Returns the current time in ticks, which never goes back."""
@@ -70,35 +63,6 @@
         """
         return self._handled_until is None or self.now() - self._handled_until <= MAX_POLL_AGE
 
-    def after_next_poll(self, callback: Callable[[], None]) -> None:
-        """Calls `callback` after a further poll of the sockets, which does not block.
-
-        If that poll is no longer recent when its input has been handled, `callback` waits for another one,
-        but for `MAX_POLLS` polls at most.
-        """
-        self._waiting.append((callback, MAX_POLLS - 1))
-
-    def after_recent_poll(self, callback: Callable[[], None]) -> None:
-        """Calls `callback` at once if the last poll of the sockets is recent, or else after the next poll."""
-        if self.has_recent_poll:
-            callback()
-        else:
-            self.after_next_poll(callback)
-
-    @property
-    def has_waiting_callbacks(self) -> bool:
-        """True if callbacks wait for the next poll, which must then not block."""
-        return bool(self._waiting)
-
     def mark_input_handled(self, until: int) -> None:
-        """Records that all input that arrived by `until` has been handled, and calls waiting callbacks."""
+        """Records that all input that arrived by `until` has been handled."""
         self._handled_until = until
-        waiting, self._waiting = self._waiting, []
-        for callback, polls_left in waiting:
-            if polls_left and not self.has_recent_poll:
-                self._waiting.append((callback, polls_left - 1))
-                continue
-            try:
-                callback()
-            except Exception:
-                log.err()  # type: ignore[no-untyped-call]
--- a/vanerelay/net/accepting_port.py
+++ b/vanerelay/net/accepting_port.py
@@ -17,6 +17,8 @@
 # If opening the socket failed with one of these, a later attempt may succeed.
 TRANSIENT_ERRNOS = EXHAUSTION_ERRNOS | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR}
 ACCEPT_RETRY_INTERVAL_S = 0.02
+READ_BYTES = 16_384
+"""The input that a client connection handles in one turn; the rest waits until the others had theirs."""
 MAX_FINAL_ACCEPT_ROUNDS = 64
 """How often accepting is tried when the port is about to close."""
 
@@ -29,16 +31,16 @@
 class ClientTransport(Server):
     """The transport of a client connection.
 
-    It reads all input that is available, up to `bufferSize`: one `recv` may return less, and a request may be
+    It reads all input that is available, up to `READ_BYTES`: one `recv` may return less, and a request may be
     followed by the end of its connection.
     """
 
     def doRead(self) -> Any:
-        """Reads until the socket is empty or `bufferSize` bytes have been read."""
-        remaining = self.bufferSize
+        """Reads until the socket is empty or `READ_BYTES` bytes have been read."""
+        remaining = READ_BYTES
         while remaining > 0:
             try:
-                data = self.socket.recv(self.bufferSize)
+                data = self.socket.recv(remaining)
             except OSError as error:
                 if error.errno == errno.EINTR:
                     continue
--- a/vanerelay/net/attempt.py
+++ b/vanerelay/net/attempt.py
@@ -29,6 +29,10 @@
     return True
 
 
+def _call_now(callback: Callable[[], None]) -> None:
+    callback()
+
+
 class Attempt:
     """One attempt of a query, or one command, from its creation until its end.
 
@@ -42,6 +46,7 @@
         on_progress: Called with each progress note of the engine.
         may_begin: Called once, right before the attempt is written, which may be long after it was planned;
             returns False if it must not begin any more.
+        after_client_input: Calls a function once the input of the client is read that may show that it left.
         connection: The connection of the attempt, until its end is known or it was given up.
         timer: The timer of its timeout.
         sent_at: When it was written, in seconds of the reactor; 0 before.
@@ -53,6 +58,7 @@
         "arguments",
         "connection",
         "done",
+        "after_client_input",
         "ended",
         "ident",
         "is_assigned",
@@ -78,6 +84,7 @@
         self.done: Deferred[AttemptEnd] = Deferred()
         self.on_progress: Callable[[ProgressNote], None] = _ignore_progress
         self.may_begin: Callable[[], bool] = _always_allowed
+        self.after_client_input: Callable[[Callable[[], None]], None] = _call_now
         self.connection: AttemptConnection | None = None
         self.timer: Any = None
         self.sent_at = 0.0
--- a/vanerelay/net/attempt_sender.py
+++ b/vanerelay/net/attempt_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -75,11 +76,13 @@
             )
         if query.ended or wait <= 0 or number >= self._settings.current.max_attempts:
             self._reactor.callLater(0, attempt.end, NOT_SENT)
-        elif self._clock.has_recent_poll and not self._client_may_have_left(query):
+        elif query.is_internal or not self._client_may_have_left(query):
             self._begin(query, attempt, engine, wait)
         else:
             until = now + wait
-            self._clock.after_next_poll(lambda: self._begin_after_poll(query, number, attempt, engine, until))
+            query.client.after_reading(
+                lambda: self._begin_after_reading(query, number, attempt, engine, until)
+            )
 
     def _prepare(self, query: ClientQuery, engine: int, wait: int) -> Attempt:
         """Creates the next attempt of a query, which counts as in flight from now on."""
@@ -99,26 +102,36 @@
         attempt.done.addCallback(self._results.ended, query, number, self._decisions.now, engine)
         attempt.done.addErrback(_log_failure)
         attempt.may_begin = lambda: self._may_begin(query, number, engine)
+        attempt.after_client_input = lambda callback: self._after_client_input(query, callback)
         return attempt
 
     def _client_may_have_left(self, query: ClientQuery) -> bool:
-        """Returns True if the client may have closed its connection without this gateway having read that.
+        """Returns True if the client may have left some time ago without this gateway having read that.
 
-        That is possible if the query was read in the current pass of the event loop, long after it may have
-        arrived: input that arrived after the query is read by the end of the pass.
+        Its cancellation, or the end of its connection, may still be unread after the process was suspended,
+        during a long pass of the event loop, or behind other input of the client.
         """
-        just_read = query.read_in_pass == self._clock.loop_passes
-        return just_read and self._decisions.now - query.received_after > MAX_POLL_AGE
+        now = self._clock.now()
+        return not self._clock.has_recent_poll or not query.client.has_recent_input(now, MAX_POLL_AGE)
+
+    def _after_client_input(self, query: ClientQuery, callback: Callable[[], None]) -> None:
+        """Calls `callback` once it is certain that the client has not left some time ago."""
+        if self._client_may_have_left(query):
+            query.client.after_reading(callback)
+        else:
+            callback()
 
     def _begin(self, query: ClientQuery, attempt: Attempt, engine: int, wait: int) -> None:
         if query.constraint is not None:
             call_extension(query.constraint.attempt_sent, engine)
         self._engines.send(engine, attempt, wait / SECOND)
 
-    def _begin_after_poll(
+    def _begin_after_reading(
         self, query: ClientQuery, number: int, attempt: Attempt, engine: int, until: int
     ) -> None:
-        """Begins an attempt that had to wait for the next poll, because its client may have left."""
+        """Begins an attempt that had to wait until the input of its client was read."""
+        if attempt.ended:
+            return
         time_left = until - self._clock.now()
         if time_left > 0 and self._decisions.may_begin(query, number):
             self._begin(query, attempt, engine, time_left)
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -21,6 +21,7 @@
 from vanerelay.clock import Clock
 from vanerelay.interface import AnswerStatus
 from vanerelay.net import frames
+from vanerelay.net.accepting_port import READ_BYTES
 from vanerelay.net.buffers import BufferPool
 from vanerelay.net.events import EventLog, LogEventKind
 from vanerelay.net.frames import FrameKind
@@ -215,6 +216,10 @@
         self._unread.call_when_empty(callback)
         self._owner.read_soon(self)
 
+    def has_recent_input(self, now: int, max_age: int) -> bool:
+        """Returns False if input that arrived more than `max_age` ticks ago may not have been handled."""
+        return self._unread.is_recent(now, max_age)
+
     def read_once(self) -> None:
         """Reads input that is in the socket, up to the size limit of one read."""
         if self._lost:
@@ -402,7 +407,7 @@
 
         False also if the connection has ended or is lost.
         """
-        for _ in range(math.ceil(frames.MAX_LENGTH / self.transport.bufferSize) + 1):
+        for _ in range(math.ceil(frames.MAX_LENGTH / READ_BYTES) + 1):
             if self._dropping_input or self._lost or self.transport.doRead() is not None:
                 return False
             if self._unread.is_empty:
--- a/vanerelay/net/engine_connection.py
+++ b/vanerelay/net/engine_connection.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any, Protocol
 
 import structlog
@@ -52,13 +52,6 @@
     events: EventLog
     malformed_answer_logged: bool
 
-    @property
-    def after_recent_poll(self) -> Callable[[Callable[[], None]], None]:
-        """Calls a function once the sockets were polled recently.
-
-        After a recent poll, the end of a client's connection cannot have been pending unnoticed for long.
-        """
-
 
 @dataclass(frozen=True, slots=True)
 class ConnectionSettings:
@@ -153,9 +146,9 @@
         """Returns True if an attempt with this identifier may be sent on this connection now."""
         if self.ended or self._closing:
             return False
-        if self._protocol is None or self.waiting:
-            return self.attempt_count < self._max_open and all(a.ident != ident for a in self.waiting)
-        return self.exchange.can_open(ident)
+        if self.attempt_count >= self._max_open or any(waiting.ident == ident for waiting in self.waiting):
+            return False
+        return self._protocol is None or self.exchange.can_open(ident, len(self.waiting))
 
     def is_alive(self) -> bool:
         """Returns True if the engine has not closed the connection, after reading all pending input.
@@ -170,14 +163,17 @@
         """Writes an attempt, or queues it until the connection is established."""
         attempt.connection = self
         attempt.is_assigned = True
-        self.used_at = self._process.reactor.seconds()
-        if self._protocol is None or self.waiting:
+        if self._protocol is None:
             self.waiting.append(attempt)
-            return
+        else:
+            self._write(attempt)
+
+    def _write(self, attempt: Attempt) -> None:
         if not attempt.may_begin():
             attempt.connection = None
             self._process.reactor.callLater(0, attempt.end, NOT_SENT)
             return
+        self.used_at = self._process.reactor.seconds()
         attempt.used_connections.append(self)
         attempt.sent_at = self.used_at
         self.attempts[attempt.ident] = attempt
@@ -368,23 +364,20 @@
         if self.ended:
             protocol.abort()
             return
-        self._process.after_recent_poll(self._send_waiting)
+        for attempt in list(self.waiting):
+            attempt.after_client_input(partial(self._write_waiting, attempt))
+        self._close_if_unused()
 
-    def _send_waiting(self) -> None:
-        """Writes the attempts that waited for the connection and may still begin.
+    def _write_waiting(self, attempt: Attempt) -> None:
+        """Writes an attempt that waited for the connection, if it may still begin.
 
         Meanwhile the client may have left, the engine may have been removed from the list, and the time in
         which the query may be retried may have passed.
         """
-        if self.ended:
-            return
-        waiting, self.waiting = self.waiting, deque()
-        for attempt in waiting:
-            if self.ended:
-                attempt.end(NOT_SENT)
-            else:
-                self.send(attempt)
-        self._close_if_unused()
+        if attempt in self.waiting:  # else it was given up, or the connection has ended
+            self.waiting.remove(attempt)
+            self._write(attempt)
+            self._close_if_unused()
 
     def _connect_failed(self, failure: Failure) -> None:
         if not self.ended:
--- a/vanerelay/net/engine_pool.py
+++ b/vanerelay/net/engine_pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from itertools import islice
 from typing import Any
 
@@ -37,7 +37,6 @@
         host: str,
         port: int,
         settings: ConnectionSettings,
-        after_recent_poll: Callable[[Callable[[], None]], None],
         events: EventLog,
     ) -> None:
         self.reactor = reactor
@@ -45,7 +44,6 @@
         self.host = host
         self.port = port
         self.settings = settings
-        self.after_recent_poll = after_recent_poll
         self.events = events
         self.connections: list[EngineConnection] = []
         self.malformed_answer_logged = False
@@ -113,7 +111,6 @@
         pool: BufferPool,
         settings: ConnectionSettings,
         max_connections: int,
-        after_recent_poll: Callable[[Callable[[], None]], None],
         events: EventLog | None = None,
     ) -> None:
         """Creates a pool without engines.
@@ -123,15 +120,12 @@
             pool: The buffers for received bytes.
             settings: How connections are used.
             max_connections: Maximum number of connections to all engines.
-            after_recent_poll: Calls a function once the sockets were polled recently. An attempt that waited
-                for its connection begins only then, as its client may have left meanwhile.
             events: The log of connection closes.
         """
         self._reactor = reactor
         self._pool = pool
         self._settings = settings
         self._max_connections = max_connections
-        self._after_recent_poll = after_recent_poll
         self._events = events or EventLog(reactor)
         self._limit_logged = False
         self._gone: set[int] = set()
@@ -166,7 +160,7 @@
         host, _, port = address.rpartition(":")
         self._incarnations[engine], self._engine_at[address] = (address, started), engine
         self._processes[engine] = EngineProcess(
-            self._reactor, self._pool, host, int(port), self._settings, self._after_recent_poll, self._events
+            self._reactor, self._pool, host, int(port), self._settings, self._events
         )
 
     def retain_engines(self, present: set[int]) -> None:
--- a/vanerelay/net/held_queries.py
+++ b/vanerelay/net/held_queries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -13,9 +14,6 @@
 from vanerelay.net.request_codec import QueryRequest
 from vanerelay.query_table import HeldQuery, QueryTable
 
-INTERNAL_QUERY_PASS = -1
-"""The value of `read_in_pass` for queries of this gateway itself, which no client sent."""
-
 
 class AnswerReceiver(Protocol):
     """The receiver of a query's answer."""
@@ -23,6 +21,12 @@
     def answer(self, stream: int, status: AnswerStatus, fields: dict[str, str], body: bytes) -> None:
         """Receives the final answer of the query on this stream."""
 
+    def has_recent_input(self, now: int, max_age: int) -> bool:
+        """Returns False if input that arrived more than `max_age` ticks ago may not have been handled."""
+
+    def after_reading(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once all input that has arrived by now is handled, but not within this call."""
+
 
 class QueryOwner(Protocol):
     """Handles the requests that the client or the constraint of a held query makes."""
@@ -42,7 +46,6 @@
 
     Attributes:
         received_after: A time before which no byte of the query had arrived; durations are counted from it.
-        read_in_pass: The event-loop pass in which the query was read.
         guard_record: The invariant guard's record of the query; None until the query is submitted.
         last_end: How the attempt that ended last did so; empty if none has ended.
         used_connections: The connections on which attempts of the query were sent.
@@ -61,7 +64,6 @@
         "memory_grant",
         "owner",
         "priority",
-        "read_in_pass",
         "received_after",
         "service_class",
         "stream",
@@ -82,7 +84,6 @@
         self.client = client
         self.stream = stream
         self.received_after = received_after
-        self.read_in_pass = INTERNAL_QUERY_PASS
         self.service_class = request.service_class.encode()
         self.deadline = deadline
         self.body = request.body
@@ -203,6 +204,14 @@
         """Fires `done` with the status of the answer."""
         self.done.callback(status)
 
+    def has_recent_input(self, now: int, max_age: int) -> bool:
+        """Returns True: no input belongs to this query."""
+        return True
+
+    def after_reading(self, callback: Callable[[], None]) -> None:
+        """Calls `callback`: no input belongs to this query."""
+        callback()
+
 
 class InternalQuery:
     """A query of this gateway itself, as the subsystem that submitted it sees it."""
--- a/vanerelay/net/query_intake.py
+++ b/vanerelay/net/query_intake.py
@@ -294,7 +294,6 @@
         self, client: ClientConnection, stream: int, admitted: AdmittedRequest, received_after: int
     ) -> ClientQuery:
         query = ClientQuery(self, client, stream, admitted.request, admitted.deadline, received_after)
-        query.read_in_pass = self._clock.loop_passes
         self._hold(query)
         client.open[stream] = query
         query.constraint = admitted.constraint
--- a/vanerelay/net/reactor.py
+++ b/vanerelay/net/reactor.py
@@ -1,9 +1,12 @@
-"""The event loop: after the process was suspended, input that has arrived is handled before any timer."""
+"""The event loop: passes of bounded length, and input before timers after the process was suspended."""
 
 from __future__ import annotations
 
 import errno
 import time
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
 from twisted.python import log
@@ -12,12 +15,34 @@
 from vanerelay.interface import SECOND
 
 
+@dataclass(slots=True)
+class ReadyEvent:
+    """An event that a poll has reported and that was not handled yet.
+
+    Attributes:
+        selectable: The Twisted object that the event is for.
+        mask: The event bits.
+        input_after: A time before which its input had not arrived, in ticks.
+        handled_until: Input up to this time had been handled when it was reported; None at the first poll.
+    """
+
+    selectable: Any
+    mask: int
+    input_after: int
+    handled_until: int | None
+
+
 class Reactor(EPollReactor):
-    """An event loop that polls its sockets once more after a late poll, before any timer runs.
+    """An event loop with short passes, which polls once more after a late poll, before any timer runs.
 
-    A poll whose timeout expired while the process was suspended reports no input, even if some has arrived.
+    Events are handled in the order in which they were reported. Those that would make a pass too long wait
+    for the next passes, so that timers and other connections get their turn. A poll whose timeout expired
+    while the process was suspended reports no input, even if some has arrived.
     """
 
+    PASS_BUDGET_S = 0.010
+    """The time after which the remaining events of a pass are left to the next one."""
+
     LATE_PASS_S = 0.010
     """A poll that returns more than this after its timeout is repeated.
 
@@ -32,13 +57,14 @@
         self._poll_started_at = clock.now()
         self._pass_ended_at = 0.0  # 0 until the first pass has ended
         self._max_delay_s = 0.0
+        self._ready: OrderedDict[int, ReadyEvent] = OrderedDict()  # by descriptor
+        self._polled_until: int | None = None
         super().__init__()  # type: ignore[no-untyped-call]
 
     def doIteration(self, delay: float | None) -> None:
         """Polls the sockets once, and once more if the first poll returned late."""
         self._clock.previous_poll_at, self._poll_started_at = self._poll_started_at, self._clock.now()
-        self._clock.loop_passes += 1
-        if self._clock.has_waiting_callbacks:
+        if self._ready:
             delay = 0
         started_at = time.monotonic()
         due = started_at + (delay or 0.0)
@@ -64,13 +90,40 @@
             raise
         # A poll does not report input that arrived after its timeout expired while the process was suspended.
         polled_until = self._clock.now() if due is None else min(self._clock.now(), due)
-        for descriptor, event in ready:
-            selectable = self._selectables.get(descriptor)
-            if selectable is not None:
+        for descriptor, mask in ready:
+            self._add_ready(descriptor, mask)
+        self._polled_until = polled_until
+        self._handle_ready()
+
+    def _add_ready(self, descriptor: int, mask: int) -> None:
+        selectable = self._selectables.get(descriptor)
+        event = self._ready.get(descriptor)
+        if event is not None and event.selectable is selectable:
+            event.mask |= mask
+        elif selectable is not None:
+            self._ready.pop(descriptor, None)  # of a connection that has ended since
+            self._ready[descriptor] = ReadyEvent(
+                selectable, mask, self._clock.previous_poll_at, self._polled_until
+            )
+
+    def _handle_ready(self) -> None:
+        """Handles events in the order reported, until none is left or the time of a pass is over."""
+        previous_poll_at = self._clock.previous_poll_at
+        ends_at = time.monotonic() + self.PASS_BUDGET_S
+        while self._ready:
+            descriptor, event = self._ready.popitem(last=False)
+            if self._selectables.get(descriptor) is event.selectable:
+                self._clock.previous_poll_at = event.input_after
                 log.callWithLogger(  # type: ignore[no-untyped-call]
-                    selectable, self._doReadOrWrite, selectable, descriptor, event
+                    event.selectable, self._doReadOrWrite, event.selectable, descriptor, event.mask
                 )
-        self._clock.mark_input_handled(polled_until)
+            if time.monotonic() >= ends_at:
+                break
+        self._clock.previous_poll_at = previous_poll_at
+        first_left = next(iter(self._ready.values()), None)
+        handled_until = self._polled_until if first_left is None else first_left.handled_until
+        if handled_until is not None:
+            self._clock.mark_input_handled(handled_until)
 
     def take_max_delay_s(self) -> float:
         """Returns the longest delay in seconds by running timers or a late poll since the previous call."""
--- a/vanerelay/net/resp_codec.py
+++ b/vanerelay/net/resp_codec.py
@@ -269,9 +269,9 @@
         """Returns True if abandoned attempts take all places, so that the connection should be replaced."""
         return len(self._abandoned) >= self._max_open
 
-    def can_open(self, ident: bytes) -> bool:
-        """Returns True if an attempt with this identifier may be opened."""
-        has_capacity = len(self.open) + len(self._abandoned) < self._max_open
+    def can_open(self, ident: bytes, reserved: int = 0) -> bool:
+        """Returns True if an attempt with this identifier may be opened, beside `reserved` other ones."""
+        has_capacity = len(self.open) + len(self._abandoned) + reserved < self._max_open
         return (
             has_capacity
             and not self._reader.broken
--- a/vanerelay/net/server.py
+++ b/vanerelay/net/server.py
@@ -93,7 +93,7 @@
     def _make_service(self, configuration: Configuration) -> None:
         """Creates the connections to engines and peers, and the service that uses them."""
         self._engines = startup.make_engine_pool(
-            self.reactor, self.clock, self._pool, configuration.raw_settings, self._shares, self.events
+            self.reactor, self._pool, configuration.raw_settings, self._shares, self.events
         )
         self._peers = configuration.peers()
         self.service = GatewayService(
--- a/vanerelay/net/startup.py
+++ b/vanerelay/net/startup.py
@@ -12,7 +12,6 @@
 from twisted.internet.error import CannotListenError
 
 from vanerelay import settings, settings_validation
-from vanerelay.clock import Clock
 from vanerelay.extension import StartupError
 from vanerelay.interface import SECOND
 from vanerelay.net.accepting_port import is_transient
@@ -176,17 +175,10 @@
 
 
 def make_engine_pool(
-    reactor: Any,
-    clock: Clock,
-    pool: BufferPool,
-    raw_settings: RawSettings,
-    shares: DescriptorShares,
-    events: EventLog,
+    reactor: Any, pool: BufferPool, raw_settings: RawSettings, shares: DescriptorShares, events: EventLog
 ) -> EnginePool:
     """Returns a connection pool that knows no engines yet."""
-    return EnginePool(
-        reactor, pool, connection_settings(raw_settings), shares.engines, clock.after_recent_poll, events
-    )
+    return EnginePool(reactor, pool, connection_settings(raw_settings), shares.engines, events)
 
 
 def index_by_name(names: list[Any] | None) -> dict[str, int]:
--- a/vanerelay/net/statements.py
+++ b/vanerelay/net/statements.py
@@ -11,7 +11,7 @@
 
 from vanerelay.net.buffers import BLOCK_BYTES
 
-MAX_TOKENS = 2_048
+MAX_TOKENS = 1_024
 """The tokens that are scanned for the table group: the table stands near the beginning."""
 _TOKENS_AT_ONCE = 64
 _VALUE = r"""[-+]?(?:\d[\w.]*+|'(?:[^']|'')*+')"""
--- a/vanerelay/net/unread_input.py
+++ b/vanerelay/net/unread_input.py
@@ -29,6 +29,10 @@
         """A time before which the input that is read now had not arrived, in ticks."""
         return self._clock.previous_poll_at if self._since is None else self._since
 
+    def is_recent(self, now: int, max_age: int) -> bool:
+        """Returns True if all input that arrived more than `max_age` ticks ago has been handled."""
+        return self._since is None or now - self._since <= max_age
+
     @property
     def is_empty(self) -> bool:
         """True if the last read found the socket empty."""
