--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -23,6 +23,7 @@
 from vanerelay.net import frames
 from vanerelay.net.accepting_port import READ_BYTES
 from vanerelay.net.buffers import BufferPool
+from vanerelay.net.client_drain import ConnectionDrain
 from vanerelay.net.events import EventLog, LogEventKind
 from vanerelay.net.frames import FrameKind
 from vanerelay.net.rate_limited_log import RateLimitedLog
@@ -38,16 +39,6 @@
 """
 FLUSH_TIMEOUT_S = 0.1
 """The time allowed for unsent bytes to leave before a connection that is being closed is aborted."""
-IN_TRANSIT_S = 0.05
-"""After more input than one read takes, the connection is not ended for this long.
-
-While the receive buffer of the system was full, further input could not leave the client's machine.
-"""
-DRAIN_TIMEOUT_S = 3.0
-"""The time after which a draining connection is ended even if its client sends without a pause.
-
-The platform may kill the process after the longest deadline, counted as 3 s at most.
-"""
 MAX_UNSENT_BYTES = 262_144
 """The unsent bytes of answers past which further queries of a client that does not read are rejected."""
 
@@ -64,15 +55,6 @@
     """Answered with an error, as no engine could have executed the request."""
 
 
-class DrainStage(Enum):
-    """The progress of a connection that is ended once no request is open."""
-
-    NOT_DRAINING = "not draining"
-    READING = "handling the requests that have arrived"
-    LAST_FRAME = "handling a request that has arrived in part"
-    REJECTING = "rejecting further requests"
-
-
 class OpenRequest(Interface):
     """A request that has not been answered, as the connection driver uses it."""
 
@@ -164,14 +146,8 @@
         self.ended = False
         # The client may have sent input before it was accepted, when its socket was not yet polled.
         self._unread = UnreadInput(owner.clock, owner.connected_after())
-        self._more_unread_at = (
-            -math.inf
-        )  # when a read last stopped at its size limit, in seconds of the reactor
         self._go_away_sent = False
-        self._drain_stage = DrainStage.NOT_DRAINING
-        self._drain_timer: Any = None
-        self._drain_overdue = False
-        self._end_check_pending = False
+        self._drain = ConnectionDrain(owner.reactor, self)
         self._dropping_input = False
         self._lost = False
         self._abort_timer: Any = None  # runs while the client reads nothing
@@ -195,11 +171,11 @@
         self._unread.mark_read()
         self._read(data, received_after)
         self._expect_frame()
-        self._end_if_answered()
+        self._drain.check()
 
     def read_limit_reached(self) -> None:
         """Records that a read stopped at its size limit: input may still be in the socket."""
-        self._more_unread_at = self._owner.reactor.seconds()
+        self._drain.read_limit_reached()
 
     def socket_emptied(self) -> None:
         """Records that a read found the socket empty."""
@@ -250,8 +226,7 @@
                 log.exception("handling a client's frame failed")
                 if frame.kind == FrameKind.REQUEST:
                     self.answer(frame.stream, AnswerStatus.FAILED, {}, b"")
-            if self._drain_stage is DrainStage.LAST_FRAME:
-                self._drain_stage = DrainStage.REJECTING
+            self._drain.frame_handled()
 
     def _handle(self, frame: frames.Frame, received_after: int) -> None:
         self._owner.mark_used(self)
@@ -262,7 +237,7 @@
             request = self.open.pop(frame.stream, None)
             if request is not None:
                 request.abandon()
-        elif self._drain_stage is DrainStage.REJECTING or self._congested and self._unsent > MAX_UNSENT_BYTES:
+        elif self._drain.rejects_requests or self._congested and self._unsent > MAX_UNSENT_BYTES:
             self._write(frames.encode_answer(FrameKind.ANSWER, frame.stream, AnswerStatus.REJECTED, {}))
         elif len(self.open) >= frames.MAX_OPEN_REQUESTS:
             self._write(frames.encode_answer(FrameKind.ANSWER, frame.stream, AnswerStatus.REJECTED, {}))
@@ -322,7 +297,7 @@
         if not self._lost:
             self._write(frames.encode_answer(FrameKind.ANSWER, stream, status, fields, body))
             self._owner.mark_used(self)
-            self._end_if_answered()
+            self._drain.check()
 
     def send_go_away(self) -> None:
         """Tells the client to send no new request on this connection."""
@@ -336,40 +311,7 @@
         Requests in the input that has arrived by now are handled, however much it is. Later ones are rejected
         at once, as there may be too little time left to answer them.
         """
-        if self._drain_stage is not DrainStage.NOT_DRAINING:
-            return
-        self._drain_stage = DrainStage.READING
-        self._drain_timer = self._owner.reactor.callLater(DRAIN_TIMEOUT_S, self._drain_timed_out)
-        self.after_reading(self._reject_further_requests)
-        self._end_if_answered()
-
-    def _reject_further_requests(self) -> None:
-        self._drain_stage = DrainStage.LAST_FRAME if self._reader.partial else DrainStage.REJECTING
-
-    def _drain_timed_out(self) -> None:
-        self._drain_overdue = True
-        self._end_if_answered()
-
-    def _end_if_answered(self) -> None:
-        """Ends a draining connection on which no request is open, once its input has been read."""
-        if self._drain_stage is DrainStage.NOT_DRAINING or self.open or self.ended:
-            return
-        if self._drain_overdue:
-            self.end("shutdown")
-        elif not self._end_check_pending:
-            self._end_check_pending = True
-            self.after_reading(self._end_if_unused)
-
-    def _end_if_unused(self) -> None:
-        self._end_check_pending = False
-        if not self.is_resting:
-            return  # checked again when a request is answered or more input is read
-        in_transit_s = self._more_unread_at + IN_TRANSIT_S - self._owner.reactor.seconds()
-        if in_transit_s <= 0:
-            self.end("shutdown")
-            return
-        self._end_check_pending = True
-        self._owner.reactor.callLater(in_transit_s, self.after_reading, self._end_if_unused)
+        self._drain.begin()
 
     def end(self, why: str, detail: str = "") -> None:
         """Closes the write side once all answers have been sent.
@@ -417,7 +359,17 @@
     @property
     def is_resting(self) -> bool:
         """True if no request is open or has arrived in part, on a connection that is not being ended."""
-        return not self.open and not self._reader.partial and not self.ended and not self._lost
+        return self.is_answered and not self._reader.partial
+
+    @property
+    def is_answered(self) -> bool:
+        """True if no request is open, on a connection that is not being ended."""
+        return not self.open and not self.ended and not self._lost
+
+    @property
+    def has_partial_frame(self) -> bool:
+        """True while only a part of a frame has been received."""
+        return self._reader.partial
 
     def pauseProducing(self) -> None:
         """Called when the write buffer of the transport is full.
@@ -447,10 +399,11 @@
     def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
         """Abandons all open requests, as nobody waits for their answers."""
         self._lost = True
-        for timer in (self._abort_timer, self._linger_timer, self._drain_timer):
+        self._drain.stop()
+        for timer in (self._abort_timer, self._linger_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        self._abort_timer = self._linger_timer = self._drain_timer = None
+        self._abort_timer = self._linger_timer = None
         self._reader.stop()
         self._owner.remove(self)
         if not self.ended:
--- /dev/null
+++ b/vanerelay/net/client_drain.py
@@ -0,0 +1,121 @@
+"""The drain of a client connection: which requests are still accepted, and when the connection ends."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, Protocol
+
+IN_TRANSIT_S = 0.05
+"""After more input than one read takes, the connection is not ended for this long.
+
+While the receive buffer of the system was full, further input could not leave the client's machine.
+"""
+DRAIN_TIMEOUT_S = 3.0
+"""The time after which a draining connection is ended even if its client sends without a pause.
+
+The platform may kill the process after the longest deadline, counted as 3 s at most.
+"""
+
+
+class DrainStage(Enum):
+    """The progress of a connection that is ended once no request is open."""
+
+    NOT_DRAINING = "not draining"
+    READING = "handling the requests that have arrived"
+    LAST_FRAME = "handling a request that has arrived in part"
+    REJECTING = "rejecting further requests"
+
+
+class DrainedConnection(Protocol):
+    """The connection, as its drain uses it."""
+
+    @property
+    def is_resting(self) -> bool:
+        """True if no request is open or has arrived in part, on a connection that is not being ended."""
+
+    @property
+    def is_answered(self) -> bool:
+        """True if no request is open, on a connection that is not being ended."""
+
+    @property
+    def has_partial_frame(self) -> bool:
+        """True while only a part of a frame has been received."""
+
+    def after_reading(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once all input that has arrived by now is handled."""
+
+    def end(self, why: str, detail: str = "") -> None:
+        """Closes the write side once all answers have been sent."""
+
+
+class ConnectionDrain:
+    """Ends one connection once no request is open and nothing that arrived in time is unread."""
+
+    def __init__(self, reactor: Any, connection: DrainedConnection) -> None:
+        self._reactor = reactor
+        self._connection = connection
+        self._stage = DrainStage.NOT_DRAINING
+        self._timer: Any = None
+        self._is_overdue = False
+        self._check_pending = False
+        self._more_unread_at = -math.inf
+
+    @property
+    def rejects_requests(self) -> bool:
+        """True if requests arrive too late to be accepted."""
+        return self._stage is DrainStage.REJECTING
+
+    def begin(self) -> None:
+        """Begins to drain. Requests in the input that has arrived by now are still accepted."""
+        if self._stage is not DrainStage.NOT_DRAINING:
+            return
+        self._stage = DrainStage.READING
+        self._timer = self._reactor.callLater(DRAIN_TIMEOUT_S, self._timed_out)
+        self._connection.after_reading(self._input_read)
+        self.check()
+
+    def read_limit_reached(self) -> None:
+        """Records that a read stopped at its size limit: input may still be in the socket."""
+        self._more_unread_at = self._reactor.seconds()
+
+    def frame_handled(self) -> None:
+        """Records that a frame was handled, which may have been the last one that began in time."""
+        if self._stage is DrainStage.LAST_FRAME:
+            self._stage = DrainStage.REJECTING
+
+    def check(self) -> None:
+        """Ends the connection if it is draining and no request is open, once its input has been read."""
+        if self._stage is DrainStage.NOT_DRAINING or not self._connection.is_answered:
+            return
+        if self._is_overdue:
+            self._connection.end("shutdown")
+        elif not self._check_pending:
+            self._check_pending = True
+            self._connection.after_reading(self._end_if_resting)
+
+    def stop(self) -> None:
+        """Cancels the timeout, as the connection is closed."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _input_read(self) -> None:
+        partial = self._connection.has_partial_frame
+        self._stage = DrainStage.LAST_FRAME if partial else DrainStage.REJECTING
+
+    def _timed_out(self) -> None:
+        self._is_overdue = True
+        self.check()
+
+    def _end_if_resting(self) -> None:
+        self._check_pending = False
+        if not self._connection.is_resting:
+            return  # checked again when a request is answered or more input is read
+        in_transit_s = self._more_unread_at + IN_TRANSIT_S - self._reactor.seconds()
+        if in_transit_s <= 0:
+            self._connection.end("shutdown")
+            return
+        self._check_pending = True
+        self._reactor.callLater(in_transit_s, self._connection.after_reading, self._end_if_resting)
--- a/vanerelay/net/reactor.py
+++ b/vanerelay/net/reactor.py
@@ -117,7 +117,7 @@
                 log.callWithLogger(  # type: ignore[no-untyped-call]
                     event.selectable, self._doReadOrWrite, event.selectable, descriptor, event.mask
                 )
-            if time.monotonic() >= ends_at:
+            if self._ready and time.monotonic() >= ends_at:
                 break
         self._clock.previous_poll_at = previous_poll_at
         first_left = next(iter(self._ready.values()), None)
