--- a/vanerelay/net/client_drain.py
+++ b/vanerelay/net/client_drain.py
@@ -1,4 +1,4 @@
-"""The drain of a client connection: which requests are still accepted, and when the connection ends."""
+"""The drain of a client connection: it ends once all requests that arrived in time are answered."""
 
 from __future__ import annotations
 
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -220,6 +220,7 @@
         self._being_judged.add(connection)
 
         def judge_now() -> None:
+            """Judges the connection, whose input has been read."""
             self._being_judged.discard(connection)
             judge(connection)
 
--- a/vanerelay/net/reactor.py
+++ b/vanerelay/net/reactor.py
@@ -1,4 +1,4 @@
-"""The event loop: passes of bounded length, and input before timers after the process was suspended."""
+"""The event loop of a gateway, whose passes are short."""
 
 from __future__ import annotations
 
--- a/vanerelay/net/unread_input.py
+++ b/vanerelay/net/unread_input.py
@@ -1,4 +1,4 @@
-"""Input that may still lie in the socket of a client connection, and callbacks that wait until it is read."""
+"""Tracks the input that may still lie unread in the socket of a client connection."""
 
 from __future__ import annotations
 
