Client connections: the log tells why, when and after what each was ended

Lines lacked which connection was ended, whether it had answered before, how long the end took to leave, and what arrived meanwhile. Each client connection has a number; closes by this gateway have answers, age and time unused; `input discarded` and `end of a connection delayed` are new; `resources` has the longest round of accepting, the largest, and the longest end. The end of a connection is a module of its own (client_end), with unchanged behaviour.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -1261,3 +1261,21 @@
     resources.warn_if_nearly_full()
     resources.warn_if_nearly_full()
     assert capsys.readouterr().out.count("memory nearly used up") == 1
+
+
+def test_input_after_the_end_of_a_connection_is_logged_with_the_time_since_the_end(capsys):
+    """Logs did not tell whether an unanswered query had arrived before or after its connection ended."""
+    harness = ServiceHarness()
+    harness.send_query(1, service="none")
+    harness.client.end("idle")
+    harness.reactor.advance(0.02)
+    harness.send_query(2)
+    harness.client.end_sent()
+    harness.send_query(3)
+    lines = capsys.readouterr().out
+    expected = ["unused_ms=0", "answered=1", "input discarded", "ms_since_end=20", "delayed", "ms=20"]
+    assert all(part in lines for part in expected) and f"connection={harness.client.number}" in lines
+    counts = {why: count for (kind, why), count in harness.clients.events.counts.items()}
+    assert counts["it arrived before the end of its connection was sent"] == 1
+    assert counts["it arrived after the end of its connection was sent"] == 1
+    assert harness.clients.statistics.values()["longest_end_ms"] == 20
--- a/vanerelay/net/accepting_port.py
+++ b/vanerelay/net/accepting_port.py
@@ -99,6 +99,10 @@
             self.protocol.output_written(held_output_bytes(self))
         return result
 
+    def _closeWriteConnection(self) -> None:
+        super()._closeWriteConnection()
+        self.protocol.end_sent()
+
 
 class AcceptingPort(Port):
     """A port that accepts all waiting connections in each event-loop pass.
@@ -142,6 +146,13 @@
 
         Returns the errno of the shortage, or None.
         """
+        began_at, first_number = self.reactor.seconds(), self.sessionno
+        error = self._accept_until_none_waits()
+        duration_s = self.reactor.seconds() - began_at
+        self.factory.statistics.accepted(self.sessionno - first_number, duration_s)
+        return error
+
+    def _accept_until_none_waits(self) -> int | None:
         for _ in range(2 * self.backlog):
             try:
                 accepted, address = self.socket.accept()
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -22,9 +22,11 @@
 from vanerelay.net import frames
 from vanerelay.net.buffers import BufferPool
 from vanerelay.net.client_drain import ConnectionDrain
+from vanerelay.net.client_end import LINGER_TIMEOUT_S, ConnectionEnd
 from vanerelay.net.events import EventLog, LogEventKind
 from vanerelay.net.frames import FrameKind
 from vanerelay.net.incomplete_frames import IncompleteFrames
+from vanerelay.net.listener_statistics import ListenerStatistics
 from vanerelay.net.memory_budget import MemoryBudget, MemoryUse
 from vanerelay.net.rate_limited_log import RateLimitedLog
 from vanerelay.net.unread_input import UnreadInput
@@ -33,12 +35,6 @@
 """Clients close a connection that has been idle for this long. A client that reads nothing for as long is
 disconnected.
 """
-LINGER_TIMEOUT_S = 1.0
-"""The time for which further input is discarded after the write side is closed, unless the client closes
-first.
-"""
-FLUSH_TIMEOUT_S = 0.1
-"""The time allowed for unsent bytes to leave before a connection that is being closed is aborted."""
 MAX_UNSENT_BYTES = 262_144
 """The unsent bytes of answers past which further queries of a client that does not read are rejected."""
 MAX_UNSENT_BEFORE_PAUSE_BYTES = 2 * MAX_UNSENT_BYTES
@@ -113,8 +109,12 @@
     memory: MemoryBudget
     incomplete_frames: IncompleteFrames
     events: EventLog
+    statistics: ListenerStatistics
     protocol_errors: RateLimitedLog
 
+    def next_connection_number(self) -> int:
+        """Returns the number of a new connection, by which log lines name it."""
+
     def admit(self, connection: ClientConnection) -> bool:
         """Registers a new connection. Returns False if no descriptor can be spared for it."""
 
@@ -151,7 +151,7 @@
         open: The open requests, by stream.
         used_at: The last use, in seconds of the reactor.
         silent: True until the first complete frame has arrived.
-        ended: True once this gateway has ended the connection.
+        number: The number of the connection in log lines.
     """
 
     transport: Any
@@ -162,7 +162,10 @@
         self.open: dict[int, OpenRequest] = {}
         self.used_at = owner.reactor.seconds()
         self.silent = True
-        self.ended = False
+        self.number = owner.next_connection_number()
+        self._end = ConnectionEnd(owner.reactor, owner.events, owner.statistics, self.number)
+        self._connected_at = self.used_at
+        self._answered = 0
         # The client may have sent input before it was accepted, when its socket was not yet polled.
         self._unread = UnreadInput(owner.clock, owner.connected_after())
         self._go_away_sent = False
@@ -170,7 +173,6 @@
         self._dropping_input = False
         self._lost = False
         self._abort_timer: Any = None  # runs while the client reads nothing
-        self._linger_timer: Any = None
         self._congested = False  # the write buffer of the transport is full
         self._unsent = 0  # bytes written since the write buffer became full
         self._reading_paused = False  # the client does not read, and sends further requests
@@ -189,12 +191,23 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes frames and handles the requests in them."""
+        if self._end.has_begun:
+            self._end.input_discarded(len(data))
         received_after = self._unread.received_after
         self._unread.mark_read()
         self._read(data, received_after)
         self._expect_frame()
         self._drain.check()
 
+    @property
+    def ended(self) -> bool:
+        """True once this gateway has ended the connection."""
+        return self._end.has_begun
+
+    def end_sent(self) -> None:
+        """Records that the end of the write side was sent, so that the client can notice it."""
+        self._end.sent()
+
     def read_limit_reached(self) -> None:
         """Records that a read stopped at its size limit: input may still be in the socket."""
         self._drain.read_limit_reached()
@@ -265,6 +278,7 @@
 
     def _write_rejection(self, stream: int, fields: Mapping[str, str], are_complete: bool = True) -> None:
         """Answers a request that is not looked at."""
+        self._answered += 1
         status = self._owner.service.rejection_status(fields, are_complete)
         self._write(frames.encode_answer(FrameKind.ANSWER, stream, status, {}))
 
@@ -354,6 +368,7 @@
         self.open.pop(stream, None)
         if self._lost:
             return
+        self._answered += 1
         if body and not self._may_hold(len(body)):
             self._owner.events.note(LogEventKind.REJECTION, "no memory for the answer", stream=stream)
             status, fields, body = AnswerStatus.FAILED, {}, b""
@@ -386,38 +401,33 @@
         Further input is discarded until the client closes its side, or for a limited time: closing a socket
         with unread input resets the connection, and the client may then lose answers.
         """
-        ended, self.ended, self._dropping_input = self.ended, True, True
-        if ended or self._lost:
+        self._dropping_input = True
+        if self.ended or self._lost:
             return
         if not self._owner.service.may_close(len(self.open)):
             self._fail_open_requests()
-        self._owner.events.note(LogEventKind.CLOSE, f"client, by this gateway: {why}", detail=detail)
+        self._note_end(why, detail)
         self._reader.stop()
-        self.transport.unregisterProducer()
-        self.transport.loseWriteConnection()
-        # Soon, and not once the socket has its turn: what arrives from now on is discarded. Not within this
-        # call, as other connections may have to be read before their clients can notice this end.
-        self._owner.reactor.callLater(0, self._send_end)
         # A slow client gets more time to read its answers.
         linger_timeout_s = CLIENT_IDLE_TIMEOUT_S if self._congested else LINGER_TIMEOUT_S
-        self._linger_timer = self._owner.reactor.callLater(linger_timeout_s, self.close)
+        self._end.begin(self.transport, why, linger_timeout_s)
         self._owner.linger(self)
 
-    def _send_end(self) -> None:
-        """Writes the end of the write side, and the answers before it, as far as the socket takes them."""
-        if not self._lost:
-            self.transport.doWrite()
+    def _note_end(self, why: str, detail: str) -> None:
+        now = self._owner.reactor.seconds()
+        self._owner.events.note(
+            LogEventKind.CLOSE,
+            f"client, by this gateway: {why}",
+            detail=detail,
+            connection=self.number,
+            answered=self._answered,
+            age_ms=round((now - self._connected_at) * 1000),
+            unused_ms=round((now - self.used_at) * 1000),
+        )
 
     def close(self) -> None:
-        """Closes the connection once all has been sent, or aborts it after `FLUSH_TIMEOUT_S`."""
-        if self._linger_timer is not None and self._linger_timer.active():
-            self._linger_timer.cancel()
-        if not self._lost:
-            self.transport.loseConnection()
-        if not self._lost:
-            self._linger_timer = self._owner.reactor.callLater(
-                FLUSH_TIMEOUT_S, self.transport.abortConnection
-            )
+        """Closes an ended connection, see `ConnectionEnd.close`."""
+        self._end.close()
 
     def read_waiting(self) -> bool:
         """Reads the input in the socket for one turn. Returns True if the socket is empty.
@@ -487,15 +497,17 @@
         self._lost = True
         self._charge(0)
         self._drain.stop()
-        for timer in (self._abort_timer, self._linger_timer):
-            if timer is not None and timer.active():
-                timer.cancel()
-        self._abort_timer = self._linger_timer = None
+        self._end.stop()
+        if self._abort_timer is not None and self._abort_timer.active():
+            self._abort_timer.cancel()
+        self._abort_timer = None
         self._reader.stop()
         self._owner.remove(self)
         if not self.ended:
             why = f"client, by the client: {reason.type.__name__ if reason.type else 'unknown'}"
-            self._owner.events.note(LogEventKind.CLOSE, why, bool(self.open), open=len(self.open))
+            self._owner.events.note(
+                LogEventKind.CLOSE, why, bool(self.open), open=len(self.open), connection=self.number
+            )
         abandoned, self.open = list(self.open.values()), {}
         for request in abandoned:
             self._abandon(request)
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -6,7 +6,7 @@
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
-from itertools import islice
+from itertools import count, islice
 from typing import Any
 
 import structlog
@@ -18,6 +18,7 @@
 from vanerelay.net.client_connection import CLIENT_IDLE_TIMEOUT_S, ClientConnection, QueryService
 from vanerelay.net.events import EventLog
 from vanerelay.net.incomplete_frames import IncompleteFrames
+from vanerelay.net.listener_statistics import ListenerStatistics
 from vanerelay.net.memory_budget import MemoryBudget, unlimited_budget
 from vanerelay.net.rate_limited_log import RateLimitedLog
 from vanerelay.net.read_queue import ReadQueue
@@ -47,6 +48,7 @@
 
     Attributes:
         protocol_errors: The rate-limited warning about clients that violate the protocol.
+        statistics: The longest pieces of work, for the log.
     """
 
     noisy = False
@@ -73,6 +75,8 @@
         self.events = events or EventLog(reactor)
         self.memory = memory or unlimited_budget()
         self.incomplete_frames = IncompleteFrames(self.memory, reactor.seconds)
+        self.statistics = ListenerStatistics()
+        self._connection_numbers = count(1)
         self._max_connections = max_connections
         self._has_spare_descriptor = has_spare_descriptor
         self._connections: OrderedDict[ClientConnection, None] = OrderedDict()
@@ -90,6 +94,10 @@
         """Returns the driver for an accepted connection."""
         return ClientConnection(self)
 
+    def next_connection_number(self) -> int:
+        """Returns the number of a new connection, by which log lines name it."""
+        return next(self._connection_numbers)
+
     def listen(self, host: str, port: int, descriptor: int | None = None) -> None:
         """Opens the port.
 
--- a/vanerelay/net/events.py
+++ b/vanerelay/net/events.py
@@ -32,6 +32,8 @@
     REJECTION = "query rejected or failed"
     STATE = "state changed"
     VIOLATION = "invariant would be broken"
+    DISCARD = "input discarded"
+    DELAYED_END = "end of a connection delayed"
 
 
 class EventLog:
--- a/vanerelay/net/server.py
+++ b/vanerelay/net/server.py
@@ -181,6 +181,7 @@
             "engine_connections": self._engines.connection_count(),
             "open": self.service.queries.open_count,
             "held": self.service.queries.held_count,
+            **self.clients.statistics.values(),
         }
 
     def _apply_initial_list(self, configuration: Configuration) -> None:
