Client connections: the end is sent within the call that decides it

Cause: since the end was written by a later direct call of doWrite, whose result was dropped. Where the listener closed the connection for the limit in the same round, that result asked for the close; nobody acted on it, and only the abort after 0.1 s closed the connection, while its input was discarded from the decision on. Fix: input is discarded and the end written in one call; direct writes go through ClientTransport.write_now, which acts on the result. The driver test of the end demands 'at once' again instead of 'before the next poll'.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -68,6 +68,9 @@
     def doWrite(self):
         self.writes += 1
 
+    def write_now(self):
+        self.doWrite()
+
     def doRead(self):
         if self.client is None:
             return
@@ -1192,14 +1195,12 @@
     assert gc.collect() < 100
 
 
-def test_end_of_a_connection_is_sent_before_the_next_poll():
-    """Guards against input that is discarded for as long as the socket waits for its turn to write."""
+def test_end_of_a_connection_is_sent_at_once():
+    """Guards against input that is discarded while the end waits, as its client cannot notice it yet."""
     harness = ServiceHarness()
     writes = harness.transport.writes
     harness.client.end("idle")
-    assert harness.transport.disconnecting and harness.transport.writes == writes
-    harness.reactor.advance(0)
-    assert harness.transport.writes == writes + 1
+    assert harness.transport.disconnecting and harness.transport.writes == writes + 1
 
 
 def test_few_connections_are_read_to_find_one_to_end_for_a_new_one():
--- a/vanerelay/net/accepting_port.py
+++ b/vanerelay/net/accepting_port.py
@@ -99,6 +99,21 @@
             self.protocol.output_written(held_output_bytes(self))
         return result
 
+    def write_now(self) -> None:
+        """Writes what the socket takes, without waiting for the next poll.
+
+        The result of `doWrite` may ask for the connection to be closed, which the event loop would do.
+        """
+        result = self.doWrite()
+        if result is not None:
+            self.reactor.callLater(0, self._disconnect, result)
+
+    def _disconnect(self, reason: Exception) -> None:
+        if self.connected:
+            self.stopReading()  # type: ignore[no-untyped-call]
+            self.stopWriting()  # type: ignore[no-untyped-call]
+            self.connectionLost(Failure(reason))  # type: ignore[no-untyped-call]
+
     def _closeWriteConnection(self) -> None:
         super()._closeWriteConnection()
         self.protocol.end_sent()
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -343,7 +343,7 @@
         """
         self._unsent = self._unsent + len(data) if self._congested else 0
         self.transport.write(data)
-        self.transport.doWrite()
+        self.transport.write_now()
         if self._congested and not self._reading_paused and self._has_too_much_unsent():
             self._reading_paused = True
             self.transport.pauseProducing()
--- a/vanerelay/net/client_drain.py
+++ b/vanerelay/net/client_drain.py
@@ -89,7 +89,6 @@
         self._stage = DrainStage.READING
         self._timer = self._reactor.callLater(DRAIN_TIMEOUT_S, self._timed_out)
         self._connection.after_reading(self._input_read)
-        self.check()
 
     def read_limit_reached(self) -> None:
         """Records that a read stopped at its size limit: input may still be in the socket."""
@@ -101,12 +100,16 @@
             self._stage = DrainStage.REJECTING
 
     def check(self) -> None:
-        """Ends the connection if it is draining and no request is open, once its input has been read."""
+        """Ends the connection if it is draining and no request is open, once its input has been read.
+
+        Not before the input that had arrived when the drain began is handled: then all other connections have
+        been read too before a client can notice the first end and, in return, send requests on the others.
+        """
         if self._stage is DrainStage.NOT_DRAINING or not self._connection.is_answered:
             return
         if self._is_overdue:
             self._connection.end("shutdown")
-        elif not self._check_pending:
+        elif self._stage is not DrainStage.READING and not self._check_pending:
             self._check_pending = True
             self._connection.after_reading(self._end_if_resting)
 
@@ -121,6 +124,7 @@
     def _input_read(self) -> None:
         partial = self._connection.has_partial_frame
         self._stage = DrainStage.LAST_FRAME if partial else DrainStage.REJECTING
+        self.check()
 
     def _timed_out(self) -> None:
         self._is_overdue = True
--- a/vanerelay/net/client_end.py
+++ b/vanerelay/net/client_end.py
@@ -21,7 +21,7 @@
     """Ends one connection: closes its write side, and the rest once the client has closed or a time is over.
 
     Input is discarded from the moment at which the end begins. A client may send requests until it can
-    notice the end, so there must be no delay between the two.
+    notice the end, which is therefore written within the same call.
 
     Attributes:
         has_begun: True once this gateway has begun to end the connection.
@@ -48,9 +48,7 @@
         self._transport, self._reason, self._begun_at = transport, reason, self._reactor.seconds()
         transport.unregisterProducer()
         transport.loseWriteConnection()
-        # Soon, and not once the socket has its turn: what arrives from now on is discarded. Not within this
-        # call, as other connections may have to be read before their clients can notice this end.
-        self._reactor.callLater(0, self._send)
+        transport.write_now()
         self._timer = self._reactor.callLater(linger_timeout_s, self.close)
 
     def close(self) -> None:
@@ -96,11 +94,6 @@
         )
         self._has_discarded = True
 
-    def _send(self) -> None:
-        """Writes the end of the write side, and the answers before it, as far as the socket takes them."""
-        if self._transport is not None:
-            self._transport.doWrite()
-
     def _cancel_timer(self) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
