Client listener: a client without a descriptor has its requests rejected before its end

Cause: the listener judged a new connection by what had been read of it, which is nothing. The driver test of the limit advances to the next pass, as the socket is read in between; it checks the same.

--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -73,8 +73,9 @@
 def wait_until_read(client: Client) -> None:
     """Returns once the gateway has read all that this client has sent."""
     client.send(struct.pack(">IBI", 6, READINESS_CHECK, 0) + b"\0")
-    frame = client.read()
-    assert frame is not None and frame[0] == READINESS
+    while (frame := client.read()) is not None and frame[0] != READINESS:
+        pass
+    assert frame is not None
 
 
 def has_ended(client: Client) -> bool:
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -690,9 +690,32 @@
     harness.client = next(iter(harness.clients._connections))
     harness.send_query(1)
     _, last = harness.connect_client()
+    harness.reactor.advance(0)  # its socket is read first
     assert last.disconnecting != has_spare and harness.service.queries.open_count == 3
 
 
+@pytest.mark.parametrize("pieces", [1, 2])
+def test_query_of_a_client_without_a_descriptor_is_rejected_before_its_connection_ends(pieces):
+    """Guards against a new connection that is ended over a query which its client has already sent."""
+    harness = ServiceHarness()
+    for name in (7, 8):
+        harness.client, _transport = harness.connect_client()
+        harness.send_query(1, ref=f"{name:016x}")
+    next(iter(harness.clients._connections)).dataReceived(harness.query(1))
+    client = harness.clients.buildProtocol(None)
+    harness.transport = FakeTransport(client)
+    query = harness.query(1, ref=f"{9:016x}")
+    size = len(query) // pieces + 1
+    harness.transport.unread = [query[:size]]
+    client.makeConnection(harness.transport)
+    harness.advance(0.03)
+    assert harness.transport.disconnecting == (pieces == 1)  # the rest is waited for
+    harness.transport.unread = [query[size:]] if pieces == 2 else []
+    harness.advance(0.2)
+    assert harness.answers() == [(1, AnswerStatus.REJECTED)] and harness.transport.disconnecting
+    assert harness.service.queries.open_count == 3
+
+
 @pytest.mark.parametrize(
     ("sent", "duration", "ended"),
     [
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -21,7 +21,7 @@
 from vanerelay.interface import AnswerStatus
 from vanerelay.net import frames
 from vanerelay.net.buffers import BufferPool
-from vanerelay.net.client_drain import ConnectionDrain
+from vanerelay.net.client_drain import ConnectionDrain, end_after_reading
 from vanerelay.net.client_end import LINGER_TIMEOUT_S, ConnectionEnd
 from vanerelay.net.events import EventLog, LogEventKind
 from vanerelay.net.frames import FrameKind
@@ -170,6 +170,7 @@
         self._unread = UnreadInput(owner.clock, owner.connected_after())
         self._go_away_sent = False
         self._drain = ConnectionDrain(owner.reactor, self)
+        self._rejects_requests = False  # there is no descriptor for this connection
         self._dropping_input = False
         self._lost = False
         self._abort_timer: Any = None  # runs while the client reads nothing
@@ -180,14 +181,16 @@
         self._unusable_requests = 0  # consecutive
 
     def connectionMade(self) -> None:
-        """Registers with the listener, or ends the connection if no descriptor can be spared."""
+        """Registers with the listener. If no descriptor can be spared, rejects what was sent and ends."""
         self.transport.setTcpNoDelay(True)
         self._charge(CONNECTION_BYTES)
         # The transport calls pauseProducing when its write buffer is full, and resumeProducing when it has
         # drained.
         self.transport.registerProducer(self, True)
         if not self._owner.admit(self):
-            self.end("no descriptor left for a new connection")
+            # Its client may have sent requests already, while it waited to be accepted.
+            self._rejects_requests = True
+            end_after_reading(self._owner.reactor, self, "no descriptor left for a new connection")
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes frames and handles the requests in them."""
@@ -291,7 +294,7 @@
             request = self.open.pop(frame.stream, None)
             if request is not None:
                 request.abandon()
-        elif self._drain.rejects_requests or self._congested and self._unsent > MAX_UNSENT_BYTES:
+        elif self._rejects_requests or self._drain.rejects_requests or self._has_many_unsent_answers():
             self._write_rejection(frame.stream, frame.fields)
         elif len(self.open) >= frames.MAX_OPEN_REQUESTS:
             self._write_rejection(frame.stream, frame.fields)
@@ -348,6 +351,9 @@
             self._reading_paused = True
             self.transport.pauseProducing()
 
+    def _has_many_unsent_answers(self) -> bool:
+        return self._congested and self._unsent > MAX_UNSENT_BYTES
+
     def _has_too_much_unsent(self) -> bool:
         return self._unsent > MAX_UNSENT_BEFORE_PAUSE_BYTES or self._owner.memory.is_exceeded
 
--- a/vanerelay/net/client_drain.py
+++ b/vanerelay/net/client_drain.py
@@ -43,6 +43,10 @@
     def has_partial_frame(self) -> bool:
         """True while only a part of a frame has been received."""
 
+    @property
+    def missing_bytes(self) -> int:
+        """The number of bytes that complete the present frame; 0 if that is not known."""
+
     def after_reading(self, callback: Callable[[], None]) -> Callable[[], None]:
         """Calls `callback` once all input that has arrived by now is handled; returns what withdraws it."""
 
@@ -56,6 +60,7 @@
     is_resting = False
     is_answered = False
     has_partial_frame = False
+    missing_bytes = 0
 
     def after_reading(self, callback: Callable[[], None]) -> Callable[[], None]:
         """Does not call `callback`, as there is nothing to end."""
@@ -140,3 +145,28 @@
             return
         self._check_pending = True
         self._reactor.callLater(in_transit_s, self._connection.after_reading, self._end_if_resting)
+
+
+def end_after_reading(
+    reactor: Any, connection: DrainedConnection, why: str, missing_before: int | None = None
+) -> None:
+    """Ends a connection that rejects all requests, once those that have arrived are answered.
+
+    A request of which a part has arrived is waited for as long as more of it arrives.
+
+    Args:
+        reactor: The event loop.
+        connection: The connection.
+        why: The reason of the end, for the log.
+        missing_before: The bytes that the present frame lacked at the previous call; None at the first call.
+    """
+
+    def end_or_wait() -> None:
+        """Ends the connection, whose input has been read, or waits for the rest of a request."""
+        missing = connection.missing_bytes
+        if connection.has_partial_frame and missing != missing_before:
+            reactor.callLater(IN_TRANSIT_S, end_after_reading, reactor, connection, why, missing)
+        else:
+            connection.end(why)
+
+    connection.after_reading(end_or_wait)
