Client listener: accepted connections are set up in turns, few candidates are judged

Fix: all waiting connections are accepted at once, so that the time since which they may have waited stays known, and set up in turns of 20 ms a pass; they count as descriptors meanwhile. A connection with unread input is not a candidate for an end, and candidates are read for 2 ms at most. The transport of a client is a module of its own.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -15,6 +15,7 @@
 from tests.test_crossings import cancel_query, close_connection, connect_client, send_result, wait_until_read
 from tests.test_drivers import EngineHarness, ServiceHarness
 from vanerelay.attempt_outcome import AttemptStage, EndCause
+from vanerelay.net.accepting_port import SET_UP_BUDGET_S
 from vanerelay.net.buffers import BufferPool
 from vanerelay.net.client_listener import ClientListener
 
@@ -145,6 +146,34 @@
     port.stopListening()
 
 
+def test_connections_that_come_at_once_are_set_up_in_turns(monkeypatch):
+    """Guards against a pass of the event loop that sets up hundreds, in which nobody else is read."""
+    harness, reactor = ServiceHarness(), MemoryReactorClock()
+    clients = ClientListener(reactor, harness.clock, harness.service, BufferPool(), 100, lambda: True)
+    clients.listen("127.0.0.1", 0)
+    port, admit, connected_after = clients._port, clients.admit, clients.connected_after()
+
+    def admit_slowly(connection):
+        reactor.rightNow += 0.6 * SET_UP_BUDGET_S
+        return admit(connection)
+
+    monkeypatch.setattr(clients, "admit", admit_slowly)
+    address = port.getHost()
+    waiting = [socket.create_connection((address.host, address.port)) for _ in range(5)]
+    port.doRead()
+    assert len(clients.connections()) == 2 and clients.descriptor_count == 5
+    harness.next_pass()
+    port.doRead()  # others are accepted meanwhile
+    assert len(clients.connections()) == 2
+    reactor.advance(0)
+    assert len(clients.connections()) >= 4
+    clients.stop_listening()
+    assert len(clients.connections()) == 5
+    assert {client.received_after() for client in clients.connections()} == {connected_after}
+    for connection in waiting:
+        connection.close()
+
+
 def test_attempt_with_a_malformed_answer_ends_once():
     """Its timeout before the end of its connection raised an exception."""
     harness = EngineHarness()
--- a/tests/test_unread_input.py
+++ b/tests/test_unread_input.py
@@ -13,7 +13,7 @@
 from vanerelay.engine_list import EngineListChange, ListedEngine
 from vanerelay.interface import AnswerStatus
 from vanerelay.net import discovery_codec, frames
-from vanerelay.net.accepting_port import MAX_CHUNK_S, TURN_BUDGET_S, ClientTransport
+from vanerelay.net.client_transport import MAX_CHUNK_S, TURN_BUDGET_S, ClientTransport
 from vanerelay.net.frames import FrameKind
 from vanerelay.net.reactor import Reactor
 
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -118,9 +118,6 @@
     def admit(self, connection: ClientConnection) -> bool:
         """Registers a new connection. Returns False if no descriptor can be spared for it."""
 
-    def connected_after(self) -> int:
-        """Returns a time before which a client that is accepted now had not connected."""
-
     def mark_used(self, connection: ClientConnection) -> None:
         """Records that the connection was used just now."""
 
@@ -156,7 +153,8 @@
 
     transport: Any
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner, connected_after: int) -> None:
+        """`connected_after` is a time before which the client had not connected, in ticks."""
         self._owner = owner
         self._reader = frames.FrameReader(owner.pool, owner.incomplete_frames)
         self.open: dict[int, OpenRequest] = {}
@@ -167,7 +165,7 @@
         self._connected_at = self.used_at
         self._answered = 0
         # The client may have sent input before it was accepted, when its socket was not yet polled.
-        self._unread = UnreadInput(owner.clock, owner.connected_after())
+        self._unread = UnreadInput(owner.clock, connected_after)
         self._go_away_sent = False
         self._drain = ConnectionDrain(owner.reactor, self)
         self._rejects_requests = False  # there is no descriptor for this connection
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -36,6 +36,8 @@
 
 Hundreds of new connections may come at once, while those before them have much unread.
 """
+JUDGING_BUDGET_S = 0.002
+"""The time for reading them; a connection with much unread is not idle."""
 
 log = structlog.get_logger()
 
@@ -91,8 +93,12 @@
         reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
 
     def buildProtocol(self, addr: object) -> ClientConnection:
-        """Returns the driver for an accepted connection."""
-        return ClientConnection(self)
+        """Returns the driver for a connection that is accepted now."""
+        return self.build_connection(self.connected_after())
+
+    def build_connection(self, connected_after: int) -> ClientConnection:
+        """Returns the driver for a connection whose client had not connected before this time, in ticks."""
+        return ClientConnection(self, connected_after)
 
     def next_connection_number(self) -> int:
         """Returns the number of a new connection, by which log lines name it."""
@@ -118,7 +124,8 @@
     @property
     def descriptor_count(self) -> int:
         """The number of connections that hold a descriptor."""
-        return len(self._connections) + len(self._lingering)
+        accepted_count = self._port.accepted_count if self._port is not None else 0
+        return len(self._connections) + len(self._lingering) + int(accepted_count)
 
     def admit(self, connection: ClientConnection) -> bool:
         """Registers a connection, and ends the longest idle one if the limit is exceeded.
@@ -164,9 +171,13 @@
         candidates = (
             connection
             for connection in self._connections
-            if not connection.open and not (connection.silent and connection.used_at >= new_since)
+            if not (connection.open or connection.has_backlog)
+            and not (connection.silent and connection.used_at >= new_since)
         )
+        ends_at = self.reactor.seconds() + JUDGING_BUDGET_S
         for connection in list(islice(candidates, MAX_JUDGED_CONNECTIONS)):
+            if self.reactor.seconds() >= ends_at:
+                break
             used_at = connection.used_at
             has_no_input = connection.read_waiting()
             if has_no_input and connection.is_resting and connection.used_at == used_at:
@@ -202,7 +213,7 @@
 
     def _limit_lingering(self) -> None:
         """Closes lingering connections while the total exceeds the limit, the oldest first."""
-        while self._lingering and self.descriptor_count > self._max_connections:
+        while self._lingering and len(self._connections) + len(self._lingering) > self._max_connections:
             self._lingering.popitem(last=False)[0].close()
 
     def mark_used(self, connection: ClientConnection) -> None:
