Client connections: answers that a client has not received hold off the end, while it reads

Cause: time limits from the moment the buffer filled, and an end judged by what was written and not by what the client's system had received. Fix: a connection with outstanding answers (held, or unacknowledged in the system's send buffer) is not resting; the limit of 4 s restarts with each progress while memory is not short; an ended connection stays while its client takes answers, and gives way last.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -71,6 +71,14 @@
     def write_now(self):
         self.doWrite()
 
+    outstanding = received = 0  # bytes of output that the client's system has not received, and has
+
+    def outstanding_bytes(self):
+        return self.outstanding
+
+    def received_bytes(self):
+        return self.received
+
     def doRead(self):
         if self.client is None:
             return
@@ -752,6 +760,7 @@
     harness = ServiceHarness()
     if congested:
         harness.client.pauseProducing()
+        harness.transport.outstanding = 1
     harness.client.end_with_protocol_error("a test")
     assert (
         harness.transport.disconnecting
@@ -1303,3 +1312,67 @@
     assert counts["it arrived before the end of its connection was sent"] == 1
     assert counts["it arrived after the end of its connection was sent"] == 1
     assert harness.clients.statistics.values()["longest_end_ms"] == 20
+
+
+def test_client_that_receives_its_answers_slowly_is_disconnected_only_if_it_stops_or_memory_is_short():
+    """Guards against a time limit from when the buffer filled, though the client goes on reading."""
+    harness = ServiceHarness()
+    harness.send_query(1, service="none")
+    harness.client.pauseProducing()  # the transport reports that its write buffer is full
+    harness.transport.outstanding = 1
+    for _ in range(3):
+        harness.transport.received += 1
+        harness.advance(4.0)
+        assert not harness.transport.aborted
+    harness.memory.charge(harness.memory.capacity)
+    harness.transport.received += 1
+    harness.advance(4.0)
+    assert harness.transport.aborted
+
+
+def test_client_that_receives_none_of_its_answers_is_disconnected():
+    harness = ServiceHarness()
+    harness.client.pauseProducing()
+    harness.advance(4.1)
+    assert harness.transport.aborted
+
+
+def test_connection_whose_client_has_not_received_all_answers_gives_way_to_no_other():
+    """Guards against an end that the client cannot notice, as unread answers come before it."""
+    harness = ServiceHarness()
+    harness.send_query(1, service="none")
+    harness.transport.outstanding = 1
+    others = [harness.connect_client() for _ in range(2)]
+    for client, _ in others:
+        client.dataReceived(harness.query(1, service="none"))
+    harness.connect_client()
+    assert [transport.disconnecting for _, transport in others] == [True, False]
+    assert not harness.transport.disconnecting
+
+
+def test_ended_connection_stays_open_while_its_client_receives_answers():
+    """Guards against a close over answers which have not left."""
+    harness = ServiceHarness()
+    harness.transport.loseConnection = harness.transport.abortConnection
+    harness.transport.outstanding = 5
+    harness.client.end("protocol error")
+    for outstanding in (4, 3, 2):
+        harness.advance(3.9)
+        assert not harness.transport.aborted
+        harness.transport.outstanding = outstanding
+    harness.advance(1.1)
+    harness.transport.outstanding = 0
+    harness.advance(1.1)
+    assert harness.transport.aborted
+
+
+def test_draining_connection_ends_once_its_client_has_received_all_answers():
+    harness = ServiceHarness()
+    harness.transport.outstanding = 1
+    harness.client.end_when_answered()
+    harness.next_pass()
+    harness.advance(0.5)
+    assert not harness.transport.disconnecting
+    harness.transport.outstanding = 0
+    harness.advance(0.1)
+    assert harness.transport.disconnecting
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -22,7 +22,7 @@
 from vanerelay.net import frames
 from vanerelay.net.buffers import BufferPool
 from vanerelay.net.client_drain import ConnectionDrain, end_after_reading
-from vanerelay.net.client_end import LINGER_TIMEOUT_S, ConnectionEnd
+from vanerelay.net.client_end import STALLED_READ_TIMEOUT_S, ConnectionEnd
 from vanerelay.net.events import EventLog, LogEventKind
 from vanerelay.net.frames import FrameKind
 from vanerelay.net.incomplete_frames import IncompleteFrames
@@ -31,10 +31,6 @@
 from vanerelay.net.rate_limited_log import RateLimitedLog
 from vanerelay.net.unread_input import UnreadInput
 
-CLIENT_IDLE_TIMEOUT_S = 4.0
-"""Clients close a connection that has been idle for this long. A client that reads nothing for as long is
-disconnected.
-"""
 MAX_UNSENT_BYTES = 262_144
 """The unsent bytes of answers past which further queries of a client that does not read are rejected."""
 MAX_UNSENT_BEFORE_PAUSE_BYTES = 2 * MAX_UNSENT_BYTES
@@ -412,9 +408,7 @@
             self._fail_open_requests()
         self._note_end(why, detail)
         self._reader.stop()
-        # A slow client gets more time to read its answers.
-        linger_timeout_s = CLIENT_IDLE_TIMEOUT_S if self._congested else LINGER_TIMEOUT_S
-        self._end.begin(self.transport, why, linger_timeout_s)
+        self._end.begin(self.transport, why)
         self._owner.linger(self)
 
     def _note_end(self, why: str, detail: str) -> None:
@@ -444,8 +438,18 @@
 
     @property
     def is_resting(self) -> bool:
-        """True if no request is open or has arrived in part, on a connection that is not being ended."""
-        return self.is_answered and not self._reader.partial
+        """True if no request is open or has arrived in part, on a connection that is not being ended.
+
+        Nor while the client has not received all answers: until then it cannot notice an end, and may go on
+        to send requests.
+        """
+        is_answered = self.is_answered and not self._reader.partial
+        return is_answered and self.transport.outstanding_bytes() == 0
+
+    @property
+    def has_outstanding_output(self) -> bool:
+        """True if the client of an ended connection has not received all answers."""
+        return self._end.has_outstanding_output
 
     @property
     def is_answered(self) -> bool:
@@ -475,7 +479,7 @@
         """
         self._congested = True
         if self._abort_timer is None:
-            self._abort_timer = self._owner.reactor.callLater(CLIENT_IDLE_TIMEOUT_S, self._abort_stalled)
+            self._watch_output()
 
     def resumeProducing(self) -> None:
         """Called when the write buffer of the transport has drained."""
@@ -491,8 +495,19 @@
     def stopProducing(self) -> None:
         """Called when the transport is closed; `connectionLost` handles that."""
 
-    def _abort_stalled(self) -> None:
+    def _watch_output(self) -> None:
+        """Checks later whether the client has taken any output since now."""
+        self._abort_timer = self._owner.reactor.callLater(
+            STALLED_READ_TIMEOUT_S, self._abort_if_stalled, self.transport.received_bytes()
+        )
+
+    def _abort_if_stalled(self, received_bytes: int) -> None:
+        """Aborts the connection if its client has received no more than this, or if memory is short."""
         self._abort_timer = None
+        progressed = self.transport.received_bytes() > received_bytes
+        if progressed and self._owner.memory.allows(MemoryUse.QUERY, 0):
+            self._watch_output()
+            return
         log.warning("client does not read its answers, connection aborted", open=len(self.open))
         self.transport.abortConnection()
 
--- a/vanerelay/net/client_drain.py
+++ b/vanerelay/net/client_drain.py
@@ -12,6 +12,8 @@
 
 While the receive buffer of the system was full, further input could not leave the client's machine.
 """
+OUTPUT_CHECK_INTERVAL_S = 0.02
+"""The time after which a connection is checked again whose client has not received all answers."""
 DRAIN_TIMEOUT_S = 3.0
 """The time after which a draining connection is ended even if its client sends without a pause.
 
@@ -138,13 +140,18 @@
     def _end_if_resting(self) -> None:
         self._check_pending = False
         if not self._connection.is_resting:
-            return  # checked again when a request is answered or more input is read
+            if self._connection.is_answered and not self._connection.has_partial_frame:
+                self._check_later(OUTPUT_CHECK_INTERVAL_S)  # its client has not received all answers
+            return  # otherwise checked again when a request is answered or more input is read
         in_transit_s = self._more_unread_at + IN_TRANSIT_S - self._reactor.seconds()
         if in_transit_s <= 0:
             self._connection.end("shutdown")
             return
+        self._check_later(in_transit_s)
+
+    def _check_later(self, delay_s: float) -> None:
         self._check_pending = True
-        self._reactor.callLater(in_transit_s, self._connection.after_reading, self._end_if_resting)
+        self._reactor.callLater(delay_s, self._connection.after_reading, self._end_if_resting)
 
 
 def end_after_reading(
--- a/vanerelay/net/client_end.py
+++ b/vanerelay/net/client_end.py
@@ -11,6 +11,10 @@
 """The time for which further input is discarded after the write side is closed, unless the client closes
 first.
 """
+STALLED_READ_TIMEOUT_S = 4.0
+"""A client that takes nothing of its answers for this long is disconnected. Clients close a connection that
+has been idle for as long.
+"""
 FLUSH_TIMEOUT_S = 0.1
 """The time allowed for unsent bytes to leave before a connection that is being closed is aborted."""
 DELAY_LOGGED_S = 0.01
@@ -38,18 +42,36 @@
         self._timer: Any = None
         self._reason = ""
         self._begun_at = 0.0
+        self._outstanding_bytes = 0  # answers that the client has not received, when last looked at
+        self._progressed_at = 0.0
         self._is_sent = False
         self._has_discarded = False
         self.has_begun = False
 
-    def begin(self, transport: Any, reason: str, linger_timeout_s: float) -> None:
-        """Closes the write side once all output has been sent, and the rest after the timeout in seconds."""
+    def begin(self, transport: Any, reason: str) -> None:
+        """Closes the write side once all output has been sent, and the rest after `LINGER_TIMEOUT_S`."""
         self.has_begun = True
         self._transport, self._reason, self._begun_at = transport, reason, self._reactor.seconds()
         transport.unregisterProducer()
         transport.loseWriteConnection()
         transport.write_now()
-        self._timer = self._reactor.callLater(linger_timeout_s, self.close)
+        self._outstanding_bytes, self._progressed_at = transport.outstanding_bytes(), self._begun_at
+        self._timer = self._reactor.callLater(LINGER_TIMEOUT_S, self._linger_timed_out)
+
+    @property
+    def has_outstanding_output(self) -> bool:
+        """True if the client has not received all answers, which closing the connection may discard."""
+        return self._transport is not None and self._transport.outstanding_bytes() > 0
+
+    def _linger_timed_out(self) -> None:
+        """Closes the connection, unless its client still takes answers."""
+        outstanding_bytes, now = self._transport.outstanding_bytes(), self._reactor.seconds()
+        if outstanding_bytes < self._outstanding_bytes:
+            self._outstanding_bytes, self._progressed_at = outstanding_bytes, now
+        if outstanding_bytes and now - self._progressed_at < STALLED_READ_TIMEOUT_S:
+            self._timer = self._reactor.callLater(LINGER_TIMEOUT_S, self._linger_timed_out)
+        else:
+            self.close()
 
     def close(self) -> None:
         """Closes the connection once all has been sent, or aborts it after `FLUSH_TIMEOUT_S`."""
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -15,7 +15,7 @@
 from vanerelay.clock import Clock
 from vanerelay.net.accepting_port import AcceptingPort
 from vanerelay.net.buffers import BufferPool
-from vanerelay.net.client_connection import CLIENT_IDLE_TIMEOUT_S, ClientConnection, QueryService
+from vanerelay.net.client_connection import ClientConnection, QueryService
 from vanerelay.net.events import EventLog
 from vanerelay.net.incomplete_frames import IncompleteFrames
 from vanerelay.net.listener_statistics import ListenerStatistics
@@ -23,6 +23,8 @@
 from vanerelay.net.rate_limited_log import RateLimitedLog
 from vanerelay.net.read_queue import ReadQueue
 
+CLIENT_IDLE_TIMEOUT_S = 4.0
+"""Clients close a connection that has been idle for this long."""
 UNUSED_TIMEOUT_S = 2 * CLIENT_IDLE_TIMEOUT_S
 """A connection without an open request that is unused for this long is ended. Clients close idle connections
 earlier, so one that is kept for longer has been forgotten.
@@ -212,9 +214,18 @@
         self._limit_lingering()
 
     def _limit_lingering(self) -> None:
-        """Closes lingering connections while the total exceeds the limit, the oldest first."""
-        while self._lingering and len(self._connections) + len(self._lingering) > self._max_connections:
-            self._lingering.popitem(last=False)[0].close()
+        """Closes lingering connections while the total exceeds the limit, the oldest first.
+
+        Those whose clients have not received all answers are kept while a descriptor is spare.
+        """
+        excess = len(self._connections) + len(self._lingering) - self._max_connections
+        for connection in list(islice(self._lingering, max(0, excess) + MAX_JUDGED_CONNECTIONS)):
+            if excess <= 0:
+                break
+            if not connection.has_outstanding_output or not self._has_spare_descriptor():
+                del self._lingering[connection]
+                connection.close()
+                excess -= 1
 
     def mark_used(self, connection: ClientConnection) -> None:
         """Records that the connection was used just now."""
--- a/vanerelay/net/client_transport.py
+++ b/vanerelay/net/client_transport.py
@@ -9,7 +9,7 @@
 from twisted.internet.tcp import Server
 from twisted.python.failure import Failure
 
-from vanerelay.net.unsent_output import held_output_bytes
+from vanerelay.net.unsent_output import held_output_bytes, unacknowledged_bytes
 
 WOULD_BLOCK_ERRNOS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK})
 READ_BYTES = 16_384
@@ -34,6 +34,7 @@
     """
 
     _chunk_bytes = INITIAL_CHUNK_BYTES
+    _sent_bytes = 0
     has_backlog = False
 
     def doRead(self) -> Any:
@@ -85,6 +86,21 @@
             self.protocol.output_written(held_output_bytes(self))
         return result
 
+    def writeSomeData(self, data: bytes) -> Any:
+        """Writes what the socket takes, and counts it."""
+        result = super().writeSomeData(data)
+        if isinstance(result, int) and result > 0:
+            self._sent_bytes += result
+        return result
+
+    def received_bytes(self) -> int:
+        """Returns the bytes of output that the client's system has received."""
+        return self._sent_bytes - unacknowledged_bytes(self.socket) if self.connected else self._sent_bytes
+
+    def outstanding_bytes(self) -> int:
+        """Returns the bytes of output that the client's system has not received, at least."""
+        return held_output_bytes(self) + unacknowledged_bytes(self.socket) if self.connected else 0
+
     def write_now(self) -> None:
         """Writes what the socket takes, without waiting for the next poll.
 
