Client connections: an error while frames are read answers the open queries first

No input is known that raises one. It is logged, the open requests are answered with failures and the connection is ended. Also, the end is written before it is logged. The new test fails without the change with the exception itself.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -1376,3 +1376,17 @@
     harness.transport.outstanding = 0
     harness.advance(0.1)
     assert harness.transport.disconnecting
+
+
+def test_open_queries_are_answered_if_reading_further_input_fails(monkeypatch):
+    """Guards against an exception that closes the connection over its open queries."""
+    harness = ServiceHarness()
+    harness.send_query(1)
+
+    def fail(data):
+        raise ValueError("a test")
+
+    monkeypatch.setattr(harness.client._reader, "feed", fail)
+    harness.send_query(2)
+    assert harness.answers() == [(1, AnswerStatus.FAILED), (0, AnswerStatus.FAILED)]
+    assert harness.transport.disconnecting and harness.service.queries.open_count == 0
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -192,7 +192,12 @@
             self._end.input_discarded(len(data))
         received_after = self._unread.received_after
         self._unread.mark_read()
-        self._read(data, received_after)
+        try:
+            self._read(data, received_after)
+        except Exception:
+            # Otherwise the event loop would close the connection over its open requests.
+            log.exception("reading a client's frames failed")
+            self.end_with_protocol_error("error of this gateway")
         self._expect_frame()
         self._drain.check()
 
@@ -406,9 +411,9 @@
             return
         if not self._owner.service.may_close(len(self.open)):
             self._fail_open_requests()
-        self._note_end(why, detail)
-        self._reader.stop()
         self._end.begin(self.transport, why)
+        self._reader.stop()
+        self._note_end(why, detail)
         self._owner.linger(self)
 
     def _note_end(self, why: str, detail: str) -> None:
