--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -231,13 +231,11 @@
             connection.ask(request, service)
         self.connections.append(connection)
 
-    async def fill_connections(self, count: int) -> None:
-        """Idle clients that fill the descriptors."""
-        self.crowded = True
-        for _ in range(count):
-            connection = await self._connect()
-            if connection is not None:
-                self.crowd.append(connection)
+    async def fill_connections(self, count: int, exceeds_share: bool) -> None:
+        """Idle clients that connect all at once, within the clients' share of the descriptors or past it."""
+        self.crowded = exceeds_share
+        made = await asyncio.gather(*(self._connect() for _ in range(count)))
+        self.crowd += [connection for connection in made if connection is not None]
 
     def close_idle_connections(self) -> None:
         for connection in self.crowd:
@@ -267,8 +265,8 @@
             and request.sent_at > self.terminated_at + REQUESTS_OWED_AFTER_SIGTERM_S
         ):
             return "after the time for requests"
-        if self.crowded and not request.attempts:
-            return "crowd"
+        if self.crowded and not rested and not request.attempts:
+            return "crowd"  # new connections may be shut unread
         near = all(now - other.sent_at <= CROSSING_S + self._slack() for other in together)
         if near and rested and not request.attempts:
             return "crossed the end of a resting connection"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -309,7 +309,10 @@
 
     async def _crowd(self, event: FaultEvent, random_source: random.Random) -> None:
         process = random_source.choice(self.processes)
-        await process.clients.fill_connections(process.sockets // 2)
+        share = process.sockets // 3
+        within, past = share - SPARE_CONNECTIONS, process.sockets // 2
+        count = random_source.choice([within, past])
+        await process.clients.fill_connections(count, exceeds_share=count > share)
         await asyncio.sleep(event.duration_s)
         process.clients.close_idle_connections()
 
