Client listener: accepted connections are set up in one piece again

Kept: a connection with unread input is no candidate for an end, candidates are read for 2 ms at most, and an exception while a connection is set up stays with that connection (its test fails without).

--- a/vanerelay/net/accepting_port.py
+++ b/vanerelay/net/accepting_port.py
@@ -4,8 +4,6 @@
 
 import errno
 import socket
-from collections import deque
-from dataclasses import dataclass
 from typing import Any
 
 import structlog
@@ -22,8 +20,6 @@
 ACCEPT_RETRY_INTERVAL_S = 0.02
 MAX_FINAL_ACCEPT_ROUNDS = 64
 """How often accepting is tried when the port is about to close."""
-SET_UP_BUDGET_S = 0.020
-"""The time in one pass of the event loop for accepted connections. Hundreds may come at once."""
 
 log = structlog.get_logger()
 
@@ -33,21 +29,8 @@
     return isinstance(error.socketError, OSError) and error.socketError.errno in TRANSIENT_ERRNOS
 
 
-@dataclass(frozen=True, slots=True)
-class AcceptedSocket:
-    """A connection that was accepted and is not set up yet.
-
-    Attributes:
-        connected_after: A time before which its client had not connected, in ticks.
-    """
-
-    socket: socket.socket
-    address: tuple[str, int]
-    connected_after: int
-
-
 class AcceptingPort(Port):
-    """A port that accepts all waiting connections in each event-loop pass, and sets them up in turns.
+    """A port that accepts all waiting connections in each event-loop pass.
 
     Twisted's own port accepts only few at first, so that the time for which the others had waited would not
     be known. Without a free descriptor it closes a connection unread, and it stops accepting at the first
@@ -57,16 +40,6 @@
     factory: Any  # the ClientListener
     transport = ClientTransport
     _accept_timer: Any = None
-    _set_up_scheduled = False
-
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
-        self._accepted = deque[AcceptedSocket]()
-
-    @property
-    def accepted_count(self) -> int:
-        """The number of connections that hold a descriptor and are not set up yet."""
-        return len(self._accepted)
 
     def doRead(self) -> None:
         """Accepts all waiting connections. Retries soon if the system is short of resources."""
@@ -74,16 +47,12 @@
         if error in EXHAUSTION_ERRNOS and self._accept_timer is None:
             self.stopReading()  # type: ignore[no-untyped-call]  # the port would stay readable
             self._accept_timer = self.reactor.callLater(ACCEPT_RETRY_INTERVAL_S, self._retry_accept)
-        if not self._set_up_scheduled:
-            self._set_up_in_turn()
 
     def accept_remaining(self) -> None:
-        """Accepts and sets up all waiting connections before the port closes, even if some attempts fail."""
+        """Accepts all waiting connections before the port closes, even if some attempts fail."""
         for _ in range(MAX_FINAL_ACCEPT_ROUNDS):
             if self._accept_pending() is None:
-                break
-        while self._accepted:
-            self._set_up_connection(self._accepted.popleft())
+                return
 
     def connectionLost(self, reason: Failure) -> None:
         """Cancels the retry timer when the port is closed."""
@@ -102,7 +71,13 @@
 
         Returns the errno of the shortage, or None.
         """
-        connected_after = self.factory.connected_after()
+        began_at, first_number = self.reactor.seconds(), self.sessionno
+        error = self._accept_until_none_waits()
+        duration_s = self.reactor.seconds() - began_at
+        self.factory.statistics.accepted(self.sessionno - first_number, duration_s)
+        return error
+
+    def _accept_until_none_waits(self) -> int | None:
         for _ in range(2 * self.backlog):
             try:
                 accepted, address = self.socket.accept()
@@ -114,28 +89,14 @@
                     self.factory.accept_failed()
                     return error.errno
                 continue  # this connection is lost, but the next may be accepted
-            self._accepted.append(AcceptedSocket(accepted, address, connected_after))
+            self._set_up_connection(accepted, address)
         return None
 
-    def _set_up_in_turn(self) -> None:
-        """Sets up accepted connections for a limited time, and the others in the next passes."""
-        self._set_up_scheduled = False
-        began_at, first_number = self.reactor.seconds(), self.sessionno
-        while self._accepted and self.reactor.seconds() - began_at < SET_UP_BUDGET_S:
-            self._set_up_connection(self._accepted.popleft())
-        count = self.sessionno - first_number
-        self.factory.statistics.accepted(count, self.reactor.seconds() - began_at)
-        if self._accepted:
-            self._set_up_scheduled = True
-            self.reactor.callLater(0, self._set_up_in_turn)
-
-    def _set_up_connection(self, accepted: AcceptedSocket) -> None:
+    def _set_up_connection(self, accepted: socket.socket, address: tuple[str, int]) -> None:
         session_number, self.sessionno = self.sessionno, self.sessionno + 1
         try:
-            protocol: Any = self.factory.build_connection(accepted.connected_after)
-            transport: Any = self.transport(
-                accepted.socket, protocol, accepted.address, self, session_number, self.reactor
-            )
+            protocol: Any = self.factory.buildProtocol(address)
+            transport: Any = self.transport(accepted, protocol, address, self, session_number, self.reactor)
             protocol.makeConnection(transport)
         except Exception:
             log.exception("setting up a client's connection failed")
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -95,12 +95,8 @@
         reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
 
     def buildProtocol(self, addr: object) -> ClientConnection:
-        """Returns the driver for a connection that is accepted now."""
-        return self.build_connection(self.connected_after())
-
-    def build_connection(self, connected_after: int) -> ClientConnection:
-        """Returns the driver for a connection whose client had not connected before this time, in ticks."""
-        return ClientConnection(self, connected_after)
+        """Returns the driver for an accepted connection."""
+        return ClientConnection(self, self.connected_after())
 
     def next_connection_number(self) -> int:
         """Returns the number of a new connection, by which log lines name it."""
@@ -126,8 +122,7 @@
     @property
     def descriptor_count(self) -> int:
         """The number of connections that hold a descriptor."""
-        accepted_count = self._port.accepted_count if self._port is not None else 0
-        return len(self._connections) + len(self._lingering) + int(accepted_count)
+        return len(self._connections) + len(self._lingering)
 
     def admit(self, connection: ClientConnection) -> bool:
         """Registers a connection, and ends the longest idle one if the limit is exceeded.
@@ -218,7 +213,7 @@
 
         Those whose clients have not received all answers are kept while a descriptor is spare.
         """
-        excess = len(self._connections) + len(self._lingering) - self._max_connections
+        excess = self.descriptor_count - self._max_connections
         for connection in list(islice(self._lingering, max(0, excess) + MAX_JUDGED_CONNECTIONS)):
             if excess <= 0:
                 break
