Client listener: clients are accepted for 20 ms in a pass, the others wait in the queue

Fix: a round of accepting ends after 20 ms and goes on in the next pass; those left stay in the system's queue and hold no descriptor. The earliest time at which they may have connected is bounded by what was accepted since (backlog_age), also while the queue is never empty.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -15,6 +15,8 @@
 from tests.test_crossings import cancel_query, close_connection, connect_client, send_result, wait_until_read
 from tests.test_drivers import EngineHarness, ServiceHarness
 from vanerelay.attempt_outcome import AttemptStage, EndCause
+from vanerelay.net.accepting_port import ACCEPT_BUDGET_S
+from vanerelay.net.backlog_age import BacklogAge
 from vanerelay.net.buffers import BufferPool
 from vanerelay.net.client_listener import ClientListener
 
@@ -145,6 +147,56 @@
     port.stopListening()
 
 
+def test_clients_that_connect_at_once_are_accepted_in_turns(monkeypatch):
+    """Guards against a pass of the event loop that accepts hundreds, in which nobody else is read."""
+    harness, reactor = ServiceHarness(), MemoryReactorClock()
+    clients = ClientListener(reactor, harness.clock, harness.service, BufferPool(), 100, lambda: True)
+    clients.listen("127.0.0.1", 0)
+    port, admit, connected_after = clients._port, clients.admit, clients.connected_after()
+
+    def admit_slowly(connection):
+        reactor.rightNow += 0.6 * ACCEPT_BUDGET_S
+        return admit(connection)
+
+    monkeypatch.setattr(clients, "admit", admit_slowly)
+    address = port.getHost()
+    waiting = [socket.create_connection((address.host, address.port)) for _ in range(7)]
+    port.doRead()
+    assert len(clients.connections()) == 2
+    harness.time += 1.0
+    harness.next_poll()
+    port.doRead()  # the port is still readable
+    assert len(clients.connections()) == 2
+    reactor.advance(0)
+    assert len(clients.connections()) == 7 and clients.statistics.most_accepted == 2
+    # They may have connected, and sent requests, as early as the first.
+    assert {client.received_after() for client in clients.connections()} == {connected_after}
+    clients.stop_listening()
+    for connection in waiting:
+        connection.close()
+
+
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        ([], 90),
+        ([("left_waiting", 10)], 10),
+        ([("left_waiting", 10), ("emptied",)], 90),
+        ([("left_waiting", 10), ("left_waiting", 20)], 10),
+        ([("left_waiting", 10), ("left_waiting", 20), *[("accepted",)] * 3], 10),
+        ([("left_waiting", 10), ("left_waiting", 20), *[("accepted",)] * 4], 20),
+        ([("left_waiting", 10), *[("accepted",)] * 9, ("left_waiting", 20), ("left_waiting", 30)], 10),
+        ([("left_waiting", 10), ("left_waiting", 20), *[("accepted",)] * 4, ("emptied",)], 90),
+    ],
+)
+def test_age_of_the_backlog_is_bounded_by_what_was_accepted_since(events, expected):
+    """Guards against deadlines that count from ever earlier while the accept queue is never empty."""
+    age = BacklogAge(queue_length=3)
+    for name, *values in events:
+        getattr(age, name)(*values)
+    assert age.connected_after(90) == expected
+
+
 def test_connection_that_cannot_be_set_up_does_not_close_the_port(monkeypatch):
     """Guards against an exception that reaches the event loop, which would stop listening."""
     harness = ServiceHarness()
--- a/vanerelay/net/accepting_port.py
+++ b/vanerelay/net/accepting_port.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import errno
+import math
 import socket
+from enum import Enum
 from typing import Any
 
 import structlog
@@ -18,6 +20,8 @@
 # If opening the socket failed with one of these, a later attempt may succeed.
 TRANSIENT_ERRNOS = EXHAUSTION_ERRNOS | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR}
 ACCEPT_RETRY_INTERVAL_S = 0.02
+ACCEPT_BUDGET_S = 0.020
+"""The time for accepting in one pass of the event loop. Hundreds of clients may connect at once."""
 MAX_FINAL_ACCEPT_ROUNDS = 64
 """How often accepting is tried when the port is about to close."""
 
@@ -29,12 +33,19 @@
     return isinstance(error.socketError, OSError) and error.socketError.errno in TRANSIENT_ERRNOS
 
 
+class AcceptResult(Enum):
+    """The reason why a round of accepting ended."""
+
+    NONE_WAITS = "all waiting clients are accepted"
+    TIME_OVER = "its time is over"
+    EXHAUSTED = "the system is short of a resource"
+
+
 class AcceptingPort(Port):
-    """A port that accepts all waiting connections in each event-loop pass.
+    """A port that accepts waiting connections in each event-loop pass, until none waits or its time is over.
 
-    Twisted's own port accepts only few at first, so that the time for which the others had waited would not
-    be known. Without a free descriptor it closes a connection unread, and it stops accepting at the first
-    failure.
+    Twisted's own port accepts a number that adapts slowly. Without a free descriptor it closes a connection
+    unread, and it stops accepting at the first failure.
     """
 
     factory: Any  # the ClientListener
@@ -42,16 +53,23 @@
     _accept_timer: Any = None
 
     def doRead(self) -> None:
-        """Accepts all waiting connections. Retries soon if the system is short of resources."""
-        error = self._accept_pending()
-        if error in EXHAUSTION_ERRNOS and self._accept_timer is None:
+        """Accepts waiting connections, and goes on in the next pass if some are left.
+
+        Retries soon if the system is short of resources.
+        """
+        if self._accept_timer is not None:
+            return
+        result = self._accept_pending(ACCEPT_BUDGET_S)
+        if result is AcceptResult.TIME_OVER:
+            self._accept_timer = self.reactor.callLater(0, self._continue_accepting)
+        elif result is AcceptResult.EXHAUSTED:
             self.stopReading()  # type: ignore[no-untyped-call]  # the port would stay readable
-            self._accept_timer = self.reactor.callLater(ACCEPT_RETRY_INTERVAL_S, self._retry_accept)
+            self._accept_timer = self.reactor.callLater(ACCEPT_RETRY_INTERVAL_S, self._continue_accepting)
 
     def accept_remaining(self) -> None:
         """Accepts all waiting connections before the port closes, even if some attempts fail."""
         for _ in range(MAX_FINAL_ACCEPT_ROUNDS):
-            if self._accept_pending() is None:
+            if self._accept_pending(math.inf) is AcceptResult.NONE_WAITS:
                 return
 
     def connectionLost(self, reason: Failure) -> None:
@@ -60,37 +78,38 @@
             self._accept_timer.cancel()
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
-    def _retry_accept(self) -> None:
+    def _continue_accepting(self) -> None:
         self._accept_timer = None
         if self.connected:
             self.startReading()  # type: ignore[no-untyped-call]
             self.doRead()
 
-    def _accept_pending(self) -> int | None:
-        """Accepts connections until none waits or the system is short of a resource.
-
-        Returns the errno of the shortage, or None.
-        """
+    def _accept_pending(self, budget_s: float) -> AcceptResult:
         began_at, first_number = self.reactor.seconds(), self.sessionno
-        error = self._accept_until_none_waits()
+        result = self._accept_until(began_at + budget_s)
         duration_s = self.reactor.seconds() - began_at
         self.factory.statistics.accepted(self.sessionno - first_number, duration_s)
-        return error
+        if result is AcceptResult.NONE_WAITS:
+            self.factory.backlog_emptied()
+        else:
+            self.factory.clients_left_waiting()
+        return result
 
-    def _accept_until_none_waits(self) -> int | None:
+    def _accept_until(self, ends_at: float) -> AcceptResult:
         for _ in range(2 * self.backlog):
             try:
                 accepted, address = self.socket.accept()
             except OSError as error:
                 if error.errno in WOULD_BLOCK_ERRNOS:
-                    self.factory.backlog_emptied()
-                    return None
+                    return AcceptResult.NONE_WAITS
                 if error.errno in EXHAUSTION_ERRNOS:
-                    self.factory.accept_failed()
-                    return error.errno
+                    return AcceptResult.EXHAUSTED
                 continue  # this connection is lost, but the next may be accepted
             self._set_up_connection(accepted, address)
-        return None
+            self.factory.client_accepted()
+            if self.reactor.seconds() >= ends_at:
+                break
+        return AcceptResult.TIME_OVER
 
     def _set_up_connection(self, accepted: socket.socket, address: tuple[str, int]) -> None:
         session_number, self.sessionno = self.sessionno, self.sessionno + 1
--- a/vanerelay/net/client_listener.py
+++ b/vanerelay/net/client_listener.py
@@ -14,6 +14,7 @@
 
 from vanerelay.clock import Clock
 from vanerelay.net.accepting_port import AcceptingPort
+from vanerelay.net.backlog_age import BacklogAge
 from vanerelay.net.buffers import BufferPool
 from vanerelay.net.client_connection import ClientConnection, QueryService
 from vanerelay.net.events import EventLog
@@ -89,7 +90,8 @@
         self._read_queue = ReadQueue(reactor)
         self._being_judged: set[ClientConnection] = set()
         self._port: Any = None
-        self._accept_failed_at: int | None = None
+        # The system's queue holds one client more than it is asked to.
+        self._backlog_age = BacklogAge(max_connections + 1)
         self.protocol_errors = RateLimitedLog(reactor, "client protocol error")
         self._limit_warning = RateLimitedLog(reactor, "client connections at their limit")
         reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
@@ -181,21 +183,21 @@
                 return connection
         return None
 
-    def accept_failed(self) -> None:
+    def clients_left_waiting(self) -> None:
         """Records that clients may from now on wait to be accepted, and send input meanwhile."""
-        if self._accept_failed_at is None:
-            self._accept_failed_at = self.clock.previous_poll_at
+        self._backlog_age.left_waiting(self.clock.previous_poll_at)
+
+    def client_accepted(self) -> None:
+        """Records that a client was accepted."""
+        self._backlog_age.accepted()
 
     def backlog_emptied(self) -> None:
         """Records that all waiting clients have been accepted."""
-        self._accept_failed_at = None
+        self._backlog_age.emptied()
 
     def connected_after(self) -> int:
         """Returns a time before which a client that is accepted now had not connected."""
-        failed_at = self._accept_failed_at
-        return (
-            self.clock.previous_poll_at if failed_at is None else min(failed_at, self.clock.previous_poll_at)
-        )
+        return self._backlog_age.connected_after(self.clock.previous_poll_at)
 
     def connections(self) -> list[ClientConnection]:
         """Returns the connections, the longest unused first."""
