Client connections: answers hold off an end only while the client receives some

Such a connection rests again once its client has received nothing for 4 s. The new driver test fails without the change.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -1390,3 +1390,16 @@
     harness.send_query(2)
     assert harness.answers() == [(1, AnswerStatus.FAILED), (0, AnswerStatus.FAILED)]
     assert harness.transport.disconnecting and harness.service.queries.open_count == 0
+
+
+def test_connection_whose_client_stopped_to_receive_its_answers_is_ended_as_unused():
+    """Guards against a connection that is kept for ever, as its client cannot notice an end."""
+    harness = ServiceHarness()
+    harness.send_query(1, service="none")
+    harness.transport.outstanding = harness.transport.received = 100
+    for _ in range(4):
+        harness.advance(3.0)
+        harness.transport.received += 1
+    assert not harness.transport.disconnecting
+    harness.advance(4.5)
+    assert harness.transport.disconnecting
--- a/vanerelay/net/client_connection.py
+++ b/vanerelay/net/client_connection.py
@@ -168,6 +168,7 @@
         self._dropping_input = False
         self._lost = False
         self._abort_timer: Any = None  # runs while the client reads nothing
+        self._received_bytes, self._received_at = 0, self.used_at  # of the answers, when last looked at
         self._congested = False  # the write buffer of the transport is full
         self._unsent = 0  # bytes written since the write buffer became full
         self._reading_paused = False  # the client does not read, and sends further requests
@@ -445,11 +446,20 @@
     def is_resting(self) -> bool:
         """True if no request is open or has arrived in part, on a connection that is not being ended.
 
-        Nor while the client has not received all answers: until then it cannot notice an end, and may go on
-        to send requests.
+        Nor while the client still receives answers: until then it cannot notice an end, and may go on to send
+        requests.
         """
         is_answered = self.is_answered and not self._reader.partial
-        return is_answered and self.transport.outstanding_bytes() == 0
+        return is_answered and not self._is_receiving()
+
+    def _is_receiving(self) -> bool:
+        """Returns True if the client has not received all answers, and has received some of late."""
+        if self.transport.outstanding_bytes() == 0:
+            return False
+        now, received_bytes = self._owner.reactor.seconds(), self.transport.received_bytes()
+        if received_bytes > self._received_bytes:
+            self._received_bytes, self._received_at = received_bytes, now
+        return bool(now - max(self._received_at, self.used_at) < STALLED_READ_TIMEOUT_S)
 
     @property
     def has_outstanding_output(self) -> bool:
