--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -68,12 +68,15 @@
     Attributes:
         reports: The load report of an answer, by the number of requests in hand.
         after_answer: Called with the connection's writer after each answer.
+        notes_every_s: How often a note tells how far a request is; 0 for never.
+        next_note: The fields of the next note, in place of the usual ones; empty for those.
     """
 
     def __init__(self, name: str, work_s: dict[str, float], zone: str, kind: str) -> None:
         self.name, self.work_s, self.zone, self.kind = name, work_s, zone, kind
         self.port = free_port()
         self.in_hand = 0
+        self.notes_every_s, self.next_note = 0.0, ""
         self.reports: Callable[[int], str] = lambda in_hand: f"inflight:{in_hand}"
         self.after_answer: Callable[[asyncio.StreamWriter], None] = lambda writer: None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -141,7 +144,7 @@
         self.in_hand += 1
         work_s = self.work_s[dict(pair.split("=", 1) for pair in run["fields"].split(","))["sort"]]
         try:
-            await asyncio.sleep(work_s)
+            await self._work(ident, work_s, writer)
             rows = f"{ident}\t{self.name}\t1\n"
             note("run ends", engine=self.name, id=ident, rows=rows)
             fields = f"total=1,elapsed={work_s * 1000:.1f},rss=64,l={self.reports(self.in_hand)}"
@@ -153,6 +156,17 @@
         finally:
             self.in_hand -= 1
 
+    async def _work(self, ident: str, work_s: float, writer: asyncio.StreamWriter) -> None:
+        """Runs, and sends notes meanwhile."""
+        done_s = 0.0
+        while self.notes_every_s and done_s + self.notes_every_s < work_s:
+            await asyncio.sleep(self.notes_every_s)
+            done_s += self.notes_every_s
+            fields, self.next_note = self.next_note or f"n=frac,datum={done_s / work_s:.2f}", ""
+            note("note", engine=self.name, id=ident, fields=fields)
+            writer.write(resp(ident, "NOTE", fields, ""))
+        await asyncio.sleep(work_s - done_s)
+
 
 class Feed:
     """The control feed: numbered events, long polls.
