--- a/review/7/case.py
+++ b/review/7/case.py
@@ -32,11 +32,12 @@
     return listed + ")"
 
 
-class MeasuringEngine(Engine):
+class RejectingEngine(Engine):
     """An engine that answers what it cannot use with an error, at once."""
 
     async def _work(self, ident: str, work_s: float, writer: asyncio.StreamWriter) -> None:
         if ident in self.unusable:
+            standins.note("error", engine=self.name, id=ident)
             writer.write(standins.resp(ident, "ERR", "-", ""))
             raise asyncio.CancelledError
         await super()._work(ident, work_s, writer)
@@ -45,7 +46,7 @@
 
 
 async def play(gateways: list[Gateway]) -> list[str]:
-    engines = [MeasuringEngine(f"s-{i}", machala.WORK_S, "galpon-uno", "doce-nucleos") for i in range(7)]
+    engines = [RejectingEngine(f"s-{i}", machala.WORK_S, "galpon-uno", "doce-nucleos") for i in range(7)]
     for engine in engines:
         engine.reports = machala.report
         await engine.start()
@@ -63,7 +64,7 @@
     for client in bad:
         for _ in range(REQUESTS_EACH):
             request = client.send("consulta-stock", 4_000, text, "agricola-jubones", "170", "96")
-            MeasuringEngine.unusable.add(request.ref)
+            RejectingEngine.unusable.add(request.ref)
     for event in standins.RECORD:
         if event.get("statement") == text:
             event["statement"] = text[:40] + "..."
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -431,6 +431,7 @@
     """
     gateways: list[Gateway] = []
     code, lines = 2, list[str]()
+    signal.signal(signal.SIGTERM, _give_up)
     try:
         breaks = asyncio.run(_limited(play, gateways, limit_s))
         code, lines = (1, breaks) if breaks else (0, ["no rule was broken"])
@@ -452,6 +453,11 @@
     os._exit(code)  # at once: streams of a loop that has ended complain when they are collected
 
 
+def _give_up(*_: object) -> None:
+    """Ends a case that is broken off, with its processes."""
+    raise SystemExit(2)
+
+
 async def _limited(
     play: Callable[[list[Gateway]], Awaitable[list[str]]], gateways: list[Gateway], limit_s: float
 ) -> list[str]:
