Statements and answers: the work of a scan grows with the length alone

Cause: the pattern of tokens read a number with all of its points as the beginning of a list of values, found no comma, consumed one digit, and began anew at the next point: quadratic in the length, 130 ms for 16 KB. A number that no comma follows is now one token.

The tests count the characters that a pattern examines with a matcher that backtracks as `re` does, and check it against `re`.

--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import itertools
+import random
+import re
 
 import pytest
 
+from tests.regex_work import WorkCounter
 from vanerelay import attempt_outcome
 from vanerelay.attempt_outcome import AttemptStage, EndCause
 from vanerelay.clock import Clock
 from vanerelay.engine_list import EngineListChange
+from vanerelay.freshness import hints
 from vanerelay.interface import NEVER_RAN, EngineState, Outcome, ProgressKind
-from vanerelay.net import discovery_codec, frames, resp_codec, statements
+from vanerelay.net import discovery_codec, frames, request_codec, resp_codec, statements
 from vanerelay.net.buffers import BLOCK_BYTES, BufferPool, ReceiveBuffer
 from vanerelay.net.frames import FrameKind
 from vanerelay.net.incomplete_frames import IncompleteFrames
@@ -690,6 +694,97 @@
     assert len(scanned) <= max_tokens
 
 
+# The work of parsers: what can be received costs in proportion to its length.
+
+FRAGMENTS = [
+    "1", ".", "1.", "-", "+", "'", "'a'", '"', ",", ", ", "(", " ", "\n", "\t", "--", "/*", "*/", "*", "=",
+    "a", "e5", "FROM ", "x_1.y", "\x00",
+]  # fmt: skip
+SCANNED_PATTERNS = {
+    "statement": statements._TOKEN_PATTERN,
+    "hint": hints._STRINGS_AND_COMMENTS,
+    "schema": statements._GROUP_SUFFIX,
+}
+MATCHED_PATTERNS = {
+    "rows": re.compile(resp_codec._ROWS.pattern.decode("latin-1")),
+    "number": request_codec.NUMBER_PATTERN,
+}
+
+
+def work(pattern, text):
+    """Returns the work of a pattern, after checking that it is counted for the matches that `re` finds."""
+    counter = WorkCounter(pattern)
+    if pattern in MATCHED_PATTERNS.values():
+        match = pattern.match(text)
+        assert counter.match(text) == (match and match.group())
+    else:
+        assert counter.scan(text) == [match.group() for match in pattern.finditer(text) if match.group()]
+    return counter.steps
+
+
+@pytest.mark.parametrize("name", [*SCANNED_PATTERNS, *MATCHED_PATTERNS])
+@pytest.mark.parametrize("first", FRAGMENTS)
+def test_work_of_a_pattern_grows_no_faster_than_the_text(name, first):
+    """Guards against statements whose scan took 140 ms each, as it began anew at each of their points."""
+    pattern = (SCANNED_PATTERNS | MATCHED_PATTERNS)[name]
+    for part in {first, *(first + second for second in FRAGMENTS)}:
+        for begin, end in (("", ""), ("'", ""), ("SELECT ", "FROM a_1.t")):
+            short, long = (work(pattern, begin + part * (size // len(part)) + end) for size in (48, 192))
+            assert long <= 4 * 1.25 * short + 16, (begin, part)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_work_of_the_statement_scan_is_bounded_for_each_character(seed):
+    chance = random.Random(seed)
+    for _ in range(20):
+        text = "".join(chance.choices(FRAGMENTS, k=chance.randint(1, 80)))
+        ordinary = ("a, b-1, x_1.c " * len(text))[: len(text)]
+        assert work(statements._TOKEN_PATTERN, text) <= 4 * work(statements._TOKEN_PATTERN, ordinary) + 64
+
+
+@pytest.mark.parametrize("total", [2, 3, 9, 100, resp_codec.MAX_RESULT_BYTES])
+def test_pages_of_a_result_are_requested_as_they_arrive(total):
+    """Guards against an answer of a few bytes that claims thousands of pages, each requested at once."""
+    exchange = resp_codec.Exchange(BufferPool(), 32, True)
+    exchange.send_query(b"q", resp_codec.QueryCommand(b"look", 1000, b"SELECT 1"))
+    exchange.output.clear()
+    pages = [(b"OK", b"total=%d" % total)]
+    pages += [(b"ROWS", b"index=%d" % index) for index in range(1, min(total, 200))]
+    ends = []
+    for received, (kind, fields) in enumerate(pages, start=1):
+        ends += exchange.feed(resp_codec.command(b"q", kind, fields, b""))
+        requested = [command for command in exchange.output if b"read" in command]
+        assert len(set(requested)) == len(requested)
+        assert len(requested) == min(total - 1, received + resp_codec.MAX_PAGES_REQUESTED - 1)
+    assert bool(ends) == (total <= len(pages))
+
+
+@pytest.mark.parametrize("separator", [b",", b",x", b",a=", b"\xff,"])
+def test_answer_of_thousands_of_fields_is_malformed(separator):
+    assert resp_codec.parse_fields(b"a=1" + separator * 20_000) is None
+
+
+@pytest.mark.parametrize("piece", [b"1\r\nx\r\n", b"1;a=b\r\nx\r\n", b"01\r\nx\r\n"])
+def test_answer_of_short_chunks_is_parsed_in_turns(monkeypatch, piece):
+    """Guards against an answer in chunks of a byte, of which one read took 65 ms of the event loop."""
+    lines, read_line = [], ReceiveBuffer.read_line
+
+    def count(self, max_size):
+        line = read_line(self, max_size)
+        lines.append(line)
+        return line
+
+    monkeypatch.setattr(ReceiveBuffer, "read_line", count)
+    reader, size, begun = discovery_codec.ReplyReader(BufferPool()), 5000, 0
+    data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + piece * size + b"0\r\n\r\n"
+    result = reader.feed(data)
+    while result is None:
+        assert reader.is_paused and len(lines) - begun <= discovery_codec.MAX_LINES_AT_ONCE
+        begun = len(lines)
+        result = reader.resume()
+    assert result == discovery_codec.Reply(200, b"x" * size, True)
+
+
 # Time.
 
 
--- a/vanerelay/net/buffers.py
+++ b/vanerelay/net/buffers.py
@@ -120,12 +120,17 @@
 
         Returns None if no line ends within `max_size` bytes.
         """
-        head = self.peek(min(max_size, len(self))) or b""
-        end = head.find(b"\r\n")
+        if self._stored_start == self._stored_end:  # nothing is copied but the line
+            start = self._unstored_start
+            end = self._unstored.find(b"\r\n", start, start + max_size)
+            size = end - start
+        else:
+            end = size = (self.peek(min(max_size, len(self))) or b"").find(b"\r\n")
         if end < 0:
             return None
-        self.skip(end + 2)
-        return head[:end]
+        line = self.peek(size)
+        self.skip(size + 2)
+        return line
 
     def clear(self) -> None:
         """Discards all bytes and releases the blocks."""
--- a/vanerelay/net/discovery_codec.py
+++ b/vanerelay/net/discovery_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -16,6 +17,9 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Maximum size of an answer's body; engine lists are much shorter."""
 _MAX_LINE_BYTES, _MAX_HEADERS = 8_192, 100
+MAX_LINES_AT_ONCE = 128
+"""Maximum number of lines that are parsed in one call, as chunks may be as short as a byte."""
+_CHUNK_SIZE = re.compile("[0-9a-fA-F]{1,16}")
 _MAX_STATUS, _FIRST_FINAL_STATUS = 999, 200
 _STATUSES_WITHOUT_BODY = (204, 304)
 _MAX_PORT = 65_535
@@ -76,7 +80,11 @@
 
 
 class ReplyReader:
-    """Parses one HTTP answer from bytes that arrive in pieces of any size."""
+    """Parses one HTTP answer from bytes that arrive in pieces of any size.
+
+    Attributes:
+        is_paused: Whether received bytes are left that `resume` parses: one call parses `MAX_LINES_AT_ONCE`.
+    """
 
     def __init__(self, pool: BufferPool) -> None:
         self._buffer = ReceiveBuffer(pool)
@@ -84,15 +92,21 @@
         self._status = 0
         self._headers = dict[str, str]()
         self._header_count = 0
-        self._body = list[bytes]()
-        self._body_bytes = 0  # of a body of unknown length: in chunks, or until the connection is closed
+        self._body = bytearray()
+        self.is_paused = False
+        self._body_bytes = 0  # of a body in chunks, with the chunk that is read
         self._remaining = 0  # bytes of the body or the current chunk that are still missing
 
     def feed(self, data: bytes) -> Reply | Unreadable | None:
         """Parses more input; returns the answer once it is complete or found invalid, None before."""
         self._buffer.feed(data)
+        return self.resume()
+
+    def resume(self) -> Reply | Unreadable | None:
+        """Parses more of the input received so far, as `feed` does."""
         result = self._read()
-        self._buffer.store_unread()
+        if not self.is_paused:
+            self._buffer.store_unread()
         if result is not None:
             self._buffer.clear()
         return result
@@ -100,7 +114,7 @@
     def connection_closed(self) -> Reply | Unreadable:
         """Returns the answer after the connection was closed, which ends a body without a length."""
         if self._part is _Part.BODY_TO_END:
-            return Reply(self._status, b"".join(self._body), False)
+            return Reply(self._status, bytes(self._body), False)
         return Unreadable("connection closed within an answer")
 
     def drop(self) -> None:
@@ -108,7 +122,8 @@
         self._buffer.clear()
 
     def _read(self) -> Reply | Unreadable | None:
-        while True:
+        self.is_paused = False
+        for _ in range(MAX_LINES_AT_ONCE):
             if self._part is _Part.BODY_TO_END:
                 return self._read_to_end()
             if self._part in (_Part.BODY_OF_LENGTH, _Part.CHUNK):
@@ -128,16 +143,17 @@
             result = self._read_line(line.decode("latin-1"))
             if result is not None:
                 return result
+        self.is_paused = True
+        return None
 
     def _read_to_end(self) -> Unreadable | None:
-        self._body.append(self._buffer.read(len(self._buffer)) or b"")
-        self._body_bytes += len(self._body[-1])
-        return Unreadable(TOO_LONG) if self._body_bytes > MAX_BODY_BYTES else None
+        self._body += self._buffer.read(len(self._buffer)) or b""
+        return Unreadable(TOO_LONG) if len(self._body) > MAX_BODY_BYTES else None
 
     def _read_known_length(self) -> bool:
         """Reads the available part of a body or a chunk of known length; returns True if it is complete."""
         part = self._buffer.read(min(self._remaining, len(self._buffer))) or b""
-        self._body.append(part)
+        self._body += part
         self._remaining -= len(part)
         return self._remaining == 0
 
@@ -171,12 +187,12 @@
         return None
 
     def _read_chunk_size(self, line: str) -> Unreadable | None:
-        try:
-            self._remaining = int(line.partition(";")[0].strip(), 16)
-        except ValueError:
+        digits = line.partition(";")[0].strip()
+        if not _CHUNK_SIZE.fullmatch(digits):
             return Unreadable("malformed chunk size")
+        self._remaining = int(digits, 16)
         self._body_bytes += self._remaining
-        if self._remaining < 0 or self._body_bytes > MAX_BODY_BYTES:
+        if self._body_bytes > MAX_BODY_BYTES:
             return Unreadable(TOO_LONG)
         self._part = _Part.CHUNK if self._remaining else _Part.TRAILER
         return None
@@ -201,7 +217,7 @@
 
     def _complete(self) -> Reply:
         keep_alive = self._headers.get("connection", "").lower() != "close"
-        return Reply(self._status, b"".join(self._body), keep_alive)
+        return Reply(self._status, bytes(self._body), keep_alive)
 
 
 def parse(
--- a/vanerelay/net/resp_codec.py
+++ b/vanerelay/net/resp_codec.py
@@ -17,7 +17,17 @@
 """Number of strings in an answer: identifier, type, fields, body."""
 _MAX_BULK_BYTES = 65_536
 """Maximum size of a string; a page and its fields are much smaller."""
-_ROWS = re.compile(rb"(?:[^\x00-\x0c\x0e-\x1f]*\t[^\x00-\x0c\x0e-\x1f]*\t[^\x00-\x0c\x0e-\x1f]*\n)*")
+_COLUMN = rb"[^\x00-\x0c\x0e-\x1f]*+"
+_ROWS = re.compile(rb"(?:%b\t%b\t%b\n)*+" % (_COLUMN, _COLUMN, _COLUMN))
+MAX_FIELDS = 128
+"""Maximum number of `name=value` pairs of an answer; an answer has a few."""
+MAX_PAGES_REQUESTED = 16
+"""Maximum number of pages that are requested and have not arrived, of one result.
+
+A result of pages of the maximum size has fewer; an answer may claim thousands of small ones.
+"""
+_MAX_LOGGED_CHARACTERS = 200
+"""Maximum length of the description of a malformed answer."""
 
 PROGRESS_KINDS = {
     "frac": ProgressKind.PROGRESS,
@@ -128,6 +138,8 @@
     """Parses the `name=value` pairs of an answer; returns None if they are malformed."""
     if text == b"-" or not text:
         return {}
+    if text.count(b",") >= MAX_FIELDS:
+        return None
     try:
         pairs = [pair.partition("=") for pair in text.decode().split(",")]
     except UnicodeDecodeError:
@@ -192,12 +204,14 @@
         total: The number of pages.
         pages: The pages received, by index.
         size: The size of the received pages in bytes.
+        next_request: The index of the next page to request.
     """
 
     fields: dict[str, str]
     total: int
     pages: dict[int, bytes] = field(default_factory=dict)
     size: int = 0
+    next_request: int = 1
 
     @property
     def complete(self) -> bool:
@@ -208,6 +222,14 @@
         """Returns the rows of all pages in order."""
         return b"".join(self.pages[index] for index in range(self.total))
 
+    def take_requests(self) -> Iterator[int]:
+        """Yields the pages to request now, so that at most `MAX_PAGES_REQUESTED` are under way."""
+        while self.next_request < min(self.total, len(self.pages) + MAX_PAGES_REQUESTED):
+            index = self.next_request
+            self.next_request += 1
+            if index not in self.pages:
+                yield index
+
     def add(self, index: int, page: bytes) -> bool:
         """Adds a page; returns False if its index, size or rows are invalid.
 
@@ -380,7 +402,7 @@
             return self._end_if_complete(ident, pages)
         cause = END_CAUSES.get(answer_type)
         if cause is None:
-            return repr((answer_type[:16], values))
+            return repr((answer_type[:16], values))[:_MAX_LOGGED_CHARACTERS]
         del self.open[ident]
         if pages is not None:
             self.output.append(command(b"release", ident))
@@ -394,13 +416,13 @@
         pages = self.open[ident]
         if pages is None:
             pages = self.open[ident] = _PagedResult(values, total)
-            self.output.extend(command(b"read", ident, b"%d" % page) for page in range(1, total))
         if pages.total != total or not pages.add(0, body):
             return BAD_PAGE
         return self._end_if_complete(ident, pages)
 
     def _end_if_complete(self, ident: bytes, pages: _PagedResult) -> AttemptEnd | None:
         if not pages.complete:
+            self.output.extend(command(b"read", ident, b"%d" % page) for page in pages.take_requests())
             return None
         if pages.total > 1:
             self.output.append(command(b"release", ident))
--- a/vanerelay/net/statements.py
+++ b/vanerelay/net/statements.py
@@ -14,12 +14,18 @@
 MAX_SCANNED_CHARACTERS = 16_384
 """The characters that are scanned for the table group, and the bytes for a keyword of a write."""
 _TOKENS_AT_ONCE = 64
-_VALUE = r"""[-+]?(?:\d[\w.]*+|'(?:[^']|'')*+')"""
+_NUMBER = r"\d\w*+(?:\.\d\w*+)*+"
+_STRING = r"'[^']*+(?:''[^']*+)*+"  # without its closing quote
+_VALUE = rf"[-+]?+(?:{_NUMBER}|{_STRING}')"
+_COMMENT = r"--[^\n]*+|/\*(?:[^*]++|\*(?!/))*+(?:\*/|\Z)"
 # White space, comments, strings and lists of values are part of the match of the token after them: a match
 # for each of them took a quarter of the CPU time of a gateway, and a long list of values 10 ms.
+# The time of a scan grows with the length alone, whatever the text is: no repetition gives back what it has
+# matched, and whatever an alternative has scanned in vain is consumed whole by one of the next matches. So a
+# number that no comma follows is one token, with all of its points.
 _TOKEN_PATTERN = re.compile(
-    rf"""(?:\s+|{_VALUE}(?:\s*+,\s*+{_VALUE})++|--[^\n]*|/\*.*?(?:\*/|\Z)|'(?:[^']|'')*(?:'|\Z))*+"""
-    r"""(?:("(?:[^"]|"")*(?:"|\Z))|([^\W\d]\w*)|(\d\w*|[=<>+%|&!;:?]+|.)|\Z)""",
+    rf"""(?:\s++|{_VALUE}(?:\s*+,\s*+{_VALUE})++|{_COMMENT}|{_STRING}(?:'|\Z))*+"""
+    rf"""(?:("[^"]*+(?:""[^"]*+)*+(?:"|\Z))|([^\W\d]\w*+)|({_NUMBER}|[=<>+%|&!;:?]++|.)|\Z)""",
     re.DOTALL,
 )
 _WRITE_PATTERN = re.compile(rb"\b(?:into|update|table|overwrite|truncate)\b", re.IGNORECASE)
