Discovery: a poll whose answer is overdue is repeated beside it, and its answer still taken

Cause: an answer that had not begun 0.5 s after the wait, or was not complete 2 s after its first byte, had its connection aborted, and the next poll got the same limits, without end.

The limits now only decide when the poll is repeated on another connection, as the first may be dead. While answers are late, polls follow each other without a pause, so that a change is known 2 s plus the delay after it happened at most.

--- a/vanerelay/net/discovery_client.py
+++ b/vanerelay/net/discovery_client.py
@@ -5,116 +5,87 @@
 import random
 from collections.abc import Generator, Mapping
 from dataclasses import replace
+from enum import Enum, auto
 from typing import Any
 
 import structlog
 from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Factory, Protocol
-from twisted.internet.task import deferLater
+from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
 from vanerelay.extension import DiscoveryAnswerListener, ListListener
 from vanerelay.net import discovery_codec
 from vanerelay.net.buffers import BufferPool
+from vanerelay.net.discovery_connection import MAX_SILENCE_S, POLL_WAIT_MS, DiscoveryConnection
 
-POLL_WAIT_MS = 7_000 - 5_000
-"""Time in milliseconds that the service waits for an event before it answers a poll without any.
-
-A change has to be known here 7 s after the service has it, and a poll may wait up to 5 s. A wait of the
-difference leaves time for one connection that died silently, a backoff, a lost connect and the next poll.
-"""
 CONNECT_TIMEOUT_S = 1.0
 """Upper limit of the connect timeout, also where the one for engines is longer."""
-MAX_SILENCE_S = 0.5
-"""Maximum time after the wait until an answer begins, and between two pieces of it."""
-MAX_ANSWER_S = 2.0
-"""Maximum time from the first byte of an answer until it is complete."""
 FIRST_BACKOFF_S, MAX_BACKOFF_S = 0.25, 1.0
 """The wait after a failure, doubled with each further one, with a random reduction by up to half."""
 MAX_DOUBLINGS = 8
 MIN_POLL_INTERVAL_S = 0.5
 """After an answer without events in less time the next poll is delayed, as the service did not wait."""
-HTTP_OK = 200
+MAX_OVERDUE_POLLS = 4
+"""The overdue polls whose answers are still awaited beside the next poll.
 
-CONNECTION_DONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+The answers of a service that takes 7 s for each are then all awaited, and a change is known as soon as a poll
+that was sent after it can tell.
+"""
+HTTP_OK = 200
 
 Address = tuple[str, int]
-PollResult = discovery_codec.Reply | discovery_codec.Unreadable
 
 log = structlog.get_logger()
 
 
-class DiscoveryConnection(Protocol):
-    """One connection to the service, with one poll at a time and timeouts for its answer.
+class DiscoveryState(Enum):
+    """How the discovery service answers, as the log reports it."""
+
+    WORKING = auto()
+    SLOW = auto()
+    """Answers come, but later than asked for."""
+    FAILING = auto()
+
+
+class Poll:
+    """One poll that is under way.
 
     Attributes:
-        usable: Whether polls can be sent on it.
+        address: The address that is polled.
+        connection: The connection that it is sent on; None until that is established.
+        sent_at: When it was sent, in seconds of the event loop.
+        is_overdue: Whether its answer is overdue.
+        found_nothing: Whether its answer came with no event, sooner than asked for.
+        running: Carries the poll out, and cancels it.
     """
 
-    transport: Any
+    def __init__(self, address: Address, connection: DiscoveryConnection | None) -> None:
+        self.address = address
+        self.connection = connection
+        self.sent_at = 0.0
+        self.is_overdue = False
+        self.found_nothing = False
+        self.running: Deferred[None] | None = None
 
-    def __init__(self, reactor: Any, pool: BufferPool) -> None:
-        self._reactor = reactor
-        self._pool = pool
-        self._reader = discovery_codec.ReplyReader(pool)
-        self._reply: Deferred[PollResult] | None = None
-        self._timeout: Any = None
-        self._complete_by: float | None = None
-        self.usable = True
-
-    def poll(self, request: bytes) -> Deferred[PollResult]:
-        """Sends a poll. The Deferred never fails."""
-        self._reader = discovery_codec.ReplyReader(self._pool)
-        self._reply, self._complete_by = Deferred(), None
-        self._set_timeout(POLL_WAIT_MS / 1000 + MAX_SILENCE_S)
-        self.transport.write(request)
-        return self._reply
-
-    def dataReceived(self, data: bytes) -> None:
-        """Parses the answer."""
-        if self._reply is None:
-            return
-        now = self._reactor.seconds()
-        if self._complete_by is None:
-            self._complete_by = now + MAX_ANSWER_S
-        self._set_timeout(min(MAX_SILENCE_S, max(0.0, self._complete_by - now)))
-        self._finish(self._reader.feed(data))
-
-    def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
-        """Handles the end of the connection, which also ends an answer without a length."""
-        self.usable = False
-        if self._reply is not None:
-            self._finish(self._reader.connection_closed())
-        self._reader.drop()
+    def drop(self) -> None:
+        """Cancels the poll, and aborts its connection."""
+        if self.running is not None:
+            self.running.cancel()
+        self.abort()
 
     def abort(self) -> None:
-        """Aborts the connection; a pending poll fails."""
-        self.usable = False
-        self._cancel_timeout()
-        if self.transport is not None:
-            self.transport.abortConnection()
-
-    def _set_timeout(self, timeout_s: float) -> None:
-        self._cancel_timeout()
-        self._timeout = self._reactor.callLater(timeout_s, self.abort)
-
-    def _cancel_timeout(self) -> None:
-        if self._timeout is not None and self._timeout.active():
-            self._timeout.cancel()
-
-    def _finish(self, result: PollResult | None) -> None:
-        if result is None:
-            return
-        self._cancel_timeout()
-        reply, self._reply = self._reply, None
-        if reply is not None:
-            reply.callback(result)
+        """Aborts the poll's connection."""
+        if self.connection is not None:
+            self.connection.abort()
 
 
 class DiscoveryClient:
-    """Polls the discovery service, and passes on each change once."""
+    """Polls the discovery service, and passes on each change once.
+
+    A poll whose answer is overdue is repeated on another connection, as the one that it was sent on may be
+    dead. Its answer is still awaited, so that a slow service is heard as well: whichever comes first counts.
+    """
 
     def __init__(
         self,
@@ -154,12 +125,14 @@
         self._machine_kinds = machine_kinds
         self._address = discovery_codec.parse_address(address)
         self._previous_address: Address | None = None  # polled alternately until the new address has answered
-        self._polling: Deferred[None] | None = None
+        self._polls = list[Poll]()  # under way, the oldest first
+        self._current: Poll | None = None  # the newest of them unless that is overdue
+        self._next_poll: Any = None  # the timer of the next poll
+        self._reserved: DiscoveryConnection | None = None  # for the next poll
         self._event_numbers = discovery_codec.EventNumbers()
         self._stopped = False
         self._failures = 0
-        self._working = True
-        self._connection: DiscoveryConnection | None = None
+        self._state = DiscoveryState.WORKING
         self._up_to_date_at = reactor.seconds()  # all changes known to the service by then were passed on
 
     def apply(self, data: Any) -> str | None:
@@ -185,77 +158,137 @@
 
     def start(self) -> None:
         """Starts polling, until `stop` is called."""
-        self._polling = polling = self._poll_loop()
-        polling.addErrback(_log_failure)
+        self._begin_poll(self._address)
 
     def change_address(self, address: str) -> None:
         """Polls another address, starting at once.
 
-        The event numbers continue, so events in an answer that was under way are sent again. The pending poll
-        is cancelled, as it may hang until its timeout.
+        The event numbers continue, so events in an answer that was under way are sent again. The pending
+        polls are cancelled, as they may hang until their timeout.
         """
         new_address = discovery_codec.parse_address(address)
         if self._stopped or new_address == self._address:
             return
         log.info("discovery address changed", address=address)
         self._previous_address, self._address = self._address, new_address
-        self._cancel_poll()
+        self._cancel_polls()
         self.start()
 
     def stop(self) -> None:
         """Stops polling."""
         self._stopped = True
-        self._cancel_poll()
-
-    def _cancel_poll(self) -> None:
-        polling, self._polling = self._polling, None
-        if polling is not None:
-            polling.cancel()
-        if self._connection is not None:
-            self._connection.abort()
-            self._connection = None
+        self._cancel_polls()
+
+    def _cancel_polls(self) -> None:
+        self._cancel_next_poll()
+        for poll in list(self._polls):
+            self._drop(poll)
+
+    def _cancel_next_poll(self) -> None:
+        if self._next_poll is not None and self._next_poll.active():
+            self._next_poll.cancel()
+        if self._reserved is not None:
+            self._reserved.abort()
+            self._reserved = None
+
+    def _schedule_poll(
+        self, delay_s: float, address: Address, connection: DiscoveryConnection | None
+    ) -> None:
+        self._cancel_next_poll()
+        self._reserved = connection
+        self._next_poll = self._reactor.callLater(delay_s, self._begin_poll, address)
+
+    def _drop(self, poll: Poll) -> None:
+        self._remove(poll)
+        poll.drop()
+
+    def _remove(self, poll: Poll) -> None:
+        self._polls.remove(poll)
+        if poll is self._current:
+            self._current = None
+
+    def _begin_poll(self, address: Address) -> None:
+        """Sends a poll, on the reserved connection if it is usable, else on a new one."""
+        connection, self._reserved = self._reserved, None
+        usable = connection is not None and connection.usable
+        self._current = poll = Poll(address, connection if usable else None)
+        self._polls.append(poll)
+        poll.running = self._run(poll)
+        poll.running.addErrback(_log_failure)
 
     @inlineCallbacks
-    def _poll_loop(self) -> Generator[Deferred[Any], Any, None]:
-        address = self._address
-        while not self._stopped:
-            try:
-                problem = yield self._poll(address)
-            except CancelledError:
-                return
-            except Exception as error:  # a refused or timed-out connect, or an error in a listener
-                problem = f"{type(error).__name__}: {error}"
-            if self._stopped:
-                return
-            self._record_result(problem, address)
-            if problem is None and address == self._address:
-                continue
-            if self._connection is not None:
-                self._connection.abort()
-            if problem is None:
-                address = self._address  # the previous address is polled only after failures of the new one
-                continue
-            try:
-                yield deferLater(self._reactor, self._backoff_s(), lambda: None)
-            except CancelledError:
-                return
-            address = self._next_address(address)
-
-    def _record_result(self, problem: str | None, address: Address) -> None:
-        """Counts failures, and logs once when polls start to fail and when they succeed again."""
-        self._failures = 0 if problem is None else self._failures + 1
-        if problem is not None and self._working:
-            self._working = False
-            log.warning("discovery poll failed", why=problem)
-        elif problem is None and address == self._address:
+    def _run(self, poll: Poll) -> Generator[Deferred[Any], Any, None]:
+        try:
+            problem = yield self._poll(poll)
+        except CancelledError:
+            return
+        except Exception as error:  # a refused or timed-out connect, or an error in a listener
+            problem = f"{type(error).__name__}: {error}"
+        if poll not in self._polls:
+            return
+        was_current = poll is self._current
+        self._remove(poll)
+        if problem is None:
+            self._poll_answered(poll)
+            return
+        poll.abort()
+        if was_current:
+            self._failures += 1
+            self._poll_failed(problem, poll.address)
+
+    def _poll_answered(self, poll: Poll) -> None:
+        """Sends the next poll, unless a newer one than the answered one is under way in time."""
+        self._failures = 0
+        took_s = self._reactor.seconds() - poll.sent_at
+        is_late = poll.is_overdue and took_s > POLL_WAIT_MS / 1000 + MAX_SILENCE_S
+        self._enter_state(DiscoveryState.SLOW if is_late else DiscoveryState.WORKING)
+        at_new_address = poll.address == self._address
+        if at_new_address:
             self._previous_address = None
-            if not self._working:
-                self._working = True
-                log.info("discovery polls succeed again")
+            for other in [other for other in self._polls if other.address != self._address]:
+                self._drop(other)
+        if self._current is not None or not at_new_address:
+            poll.abort()
+        if self._current is not None:
+            return
+        # The previous address is polled only after failures of the new one.
+        pause_s = self._randomness.uniform(0.5, 1.0) * MIN_POLL_INTERVAL_S if poll.found_nothing else 0.0
+        self._schedule_poll(pause_s, self._address, poll.connection if at_new_address else None)
+
+    def _poll_overdue(self, poll: Poll) -> None:
+        """Keeps the poll, or drops it if enough older ones are awaited, and schedules the next one."""
+        poll.is_overdue = True
+        if poll is not self._current:
+            return
+        self._current = None
+        if len(self._polls) > MAX_OVERDUE_POLLS:
+            self._drop(poll)
+            self._failures += 1
+        elif self._state is DiscoveryState.SLOW:  # its answers are expected late
+            self._schedule_poll(0.0, self._next_address(poll.address), None)
+            return
+        self._poll_failed("answer overdue", poll.address)
+
+    def _poll_failed(self, problem: str, address: Address) -> None:
+        """Schedules the next poll after a backoff."""
+        self._enter_state(DiscoveryState.FAILING, problem)
+        self._schedule_poll(self._backoff_s(), self._next_address(address), None)
+
+    def _enter_state(self, state: DiscoveryState, problem: str = "") -> None:
+        """Logs a change of how the service answers."""
+        if state is self._state:
+            return
+        self._state = state
+        if state is DiscoveryState.FAILING:
+            log.warning("discovery poll failed", why=problem)
+        elif state is DiscoveryState.SLOW:
+            log.warning("discovery polls succeed, but their answers are overdue")
+        else:
+            log.info("discovery polls succeed again")
 
     def _backoff_s(self) -> float:
         """Returns the random wait after a failure in seconds: hundreds of gateways must not retry in step."""
-        doubled = FIRST_BACKOFF_S * 2.0 ** min(self._failures - 1, MAX_DOUBLINGS)
+        doubled = FIRST_BACKOFF_S * 2.0 ** min(max(0, self._failures - 1), MAX_DOUBLINGS)
         return min(MAX_BACKOFF_S, doubled) * self._randomness.uniform(0.5, 1.0)
 
     def _next_address(self, failed: Address) -> Address:
@@ -267,16 +300,20 @@
         )
 
     @inlineCallbacks
-    def _poll(self, address: Address) -> Generator[Deferred[Any], Any, str | None]:
-        host, port = address
-        if self._connection is None or not self._connection.usable:
+    def _poll(self, poll: Poll) -> Generator[Deferred[Any], Any, str | None]:
+        """Carries out a poll. Returns a description of the problem with it; None if there is none."""
+        host, port = poll.address
+        if poll.connection is None:
             endpoint = TCP4ClientEndpoint(self._reactor, host, port, timeout=self._connect_s)
             factory: Any = Factory.forProtocol(lambda: DiscoveryConnection(self._reactor, self._pool))
-            self._connection = yield endpoint.connect(factory)
-        connection = self._connection
+            poll.connection = yield endpoint.connect(factory)
+        connection = poll.connection
         assert connection is not None
         last_applied, started_at = self._event_numbers.last_applied, self._reactor.seconds()
-        reply = yield connection.poll(discovery_codec.request(f"{host}:{port}", last_applied, POLL_WAIT_MS))
+        poll.sent_at = started_at
+        request = discovery_codec.request(f"{host}:{port}", last_applied, POLL_WAIT_MS)
+        grace_s = 0.0 if self._state is DiscoveryState.SLOW else MAX_SILENCE_S
+        reply = yield connection.poll(request, lambda: self._poll_overdue(poll), grace_s)
         if isinstance(reply, discovery_codec.Unreadable):
             return reply.why
         if not reply.keep_alive:
@@ -286,15 +323,11 @@
         problem = self.apply(reply.body)
         if problem is not None:
             return problem
-        self._up_to_date_at = started_at
+        self._up_to_date_at = max(self._up_to_date_at, started_at)
         if self._on_answer is not None:
             self._on_answer()
-        if (
-            self._event_numbers.last_applied == last_applied
-            and self._reactor.seconds() - started_at < MIN_POLL_INTERVAL_S
-        ):
-            pause_s = self._randomness.uniform(0.5, 1.0) * MIN_POLL_INTERVAL_S
-            yield deferLater(self._reactor, pause_s, lambda: None)
+        took_s = self._reactor.seconds() - started_at
+        poll.found_nothing = self._event_numbers.last_applied == last_applied and took_s < MIN_POLL_INTERVAL_S
         return None
 
 
