Numbers of other processes are finite and in range before decisions use them

Cause: the figure went into the average load of all engines, which stayed infinite, so that the choice of an engine raised for every query; and the query at the head of the admission queue that raised kept the others from being admitted.

- `received_numbers.py` checks each number that arrives: load reports (on both wires), notes of progress, rows and event numbers of discovery, measurements of other gateways, counts of proxies; gossip of another length is ignored.
A figure that is no finite number in its range is left out, or makes the message unreadable.
- A load beyond ten times the capacity counts as ten times, so that sums stay of use after a figure that is in range.
- An answer of discovery that cannot be read is `Unreadable`, also where it nests too deeply, overflows, or names an engine by text that cannot be encoded, which would have raised in the hash of its name.
- A query whose admission raises fails alone and takes back what it had reserved; one whose end raises holds off no other.
Weights that tell nothing choose any engine.

--- a/vanerelay/fleet/messages.py
+++ b/vanerelay/fleet/messages.py
@@ -150,5 +150,5 @@
     """Returns the message body of type `body_type` that `data` encodes; None if it cannot be decoded."""
     try:
         return msgspec.msgpack.decode(data, type=body_type)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
--- a/vanerelay/net/discovery_codec.py
+++ b/vanerelay/net/discovery_codec.py
@@ -13,6 +13,7 @@
 from vanerelay.engine_list import EngineListChange, ListedEngine
 from vanerelay.interface import EngineState
 from vanerelay.net.buffers import BufferPool, ReceiveBuffer, parse_number
+from vanerelay.received_numbers import checked_number, checked_whole_number
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Maximum size of an answer's body; engine lists are much shorter."""
@@ -23,6 +24,10 @@
 _MAX_STATUS, _FIRST_FINAL_STATUS = 999, 200
 _STATUSES_WITHOUT_BODY = (204, 304)
 _MAX_PORT = 65_535
+_MAX_WHOLE_NUMBER = 2**53
+"""Upper bound of event numbers and cells, up to which numbers in JSON are exact."""
+_MAX_SIZE, _MAX_START_MS = 1e9, 1e15
+_MAX_ERROR_CHARACTERS = 200
 TICKS_PER_MS = 10
 STATES = {"SERVING": EngineState.UP, "DRAINING": EngineState.DRAINING, "DELETED": EngineState.GONE}
 """The states of engines by their names on the wire."""
@@ -223,7 +228,7 @@
 def parse(
     data: Any, zones: Mapping[str, int], machine_kinds: Mapping[str, int]
 ) -> list[EngineListChange] | Unreadable:
-    """Parses the events of an answer `{"n":..,"events":[..]}`, in order.
+    """Parses the events of an answer `{"n":..,"events":[..]}`, in order; an invalid one is `Unreadable`.
 
     Args:
         data: The body of an answer, or the JSON object decoded from it.
@@ -231,10 +236,14 @@
         machine_kinds: The indices of the machine kinds by their names.
     """
     try:
-        answer = json.loads(data) if isinstance(data, bytes) else data
+        answer = json.loads(data, parse_constant=_reject_constant) if isinstance(data, bytes) else data
         return [_change(event, zones, machine_kinds) for event in answer["events"]]
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Unreadable(f"{type(error).__name__}: {error}")
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        return Unreadable(f"{type(error).__name__}: {error}"[:_MAX_ERROR_CHARACTERS])
+
+
+def _reject_constant(name: str) -> float:
+    raise ValueError(f"{name} is not a number")
 
 
 def _change(
@@ -243,22 +252,26 @@
     body = event.get("members")
     if body is None:
         # An event of another kind: only its number matters.
-        return EngineListChange(int(event["n"]), False, [])
+        return EngineListChange(_event_number(event), False, [])
     engines = [_listed_engine(row, zones, machine_kinds) for row in body["members"]]
-    return EngineListChange(int(event["n"]), bool(body.get("complete")), engines)
+    return EngineListChange(_event_number(event), bool(body.get("complete")), engines)
+
+
+def _event_number(event: dict[str, Any]) -> int:
+    return checked_whole_number(event["n"], _MAX_WHOLE_NUMBER)
 
 
 def _listed_engine(row: Any, zones: Mapping[str, int], machine_kinds: Mapping[str, int]) -> ListedEngine:
     return ListedEngine(
-        name=str(row["id"]),
+        name=_checked_name(row["id"]),
         address=_checked_address(row["host_port"]),
         state=STATES[row["phase"]],
         # A zone that the settings do not list gets an index that no service class can be bound to.
         zone=zones.get(row.get("locality"), len(zones)),
         machine_kind=machine_kinds.get(row.get("flavor"), len(machine_kinds)),
-        cell=int(row.get("cell") or 0),
-        size=float(row.get("size") or 1.0),
-        started_at=int(float(row.get("up_since_ms") or 0) * TICKS_PER_MS),
+        cell=checked_whole_number(row.get("cell") or 0, _MAX_WHOLE_NUMBER),
+        size=checked_number(row.get("size") or 1.0, _MAX_SIZE),
+        started_at=int(checked_number(row.get("up_since_ms") or 0, _MAX_START_MS) * TICKS_PER_MS),
     )
 
 
@@ -270,9 +283,18 @@
     """
     host, _, port = address.rpartition(":")
     IPv4Address(host)  # names are not allowed: there is no DNS, and a lookup would start threads
-    if not 0 < int(port) <= _MAX_PORT:
+    number = parse_number(port, _MAX_PORT)
+    if not number:
         raise ValueError(f"invalid port in address: {address!r}")
-    return host, int(port)
+    return host, number
+
+
+def _checked_name(name: Any) -> str:
+    """Returns the name of an engine, which has to be text that can be encoded: decisions hash it."""
+    if not isinstance(name, str) or not name:
+        raise ValueError("an engine without a name")
+    name.encode()
+    return name
 
 
 def _checked_address(text: str) -> str:
--- a/vanerelay/net/load_reports.py
+++ b/vanerelay/net/load_reports.py
@@ -5,7 +5,10 @@
 from collections.abc import Mapping
 
 from vanerelay.net import request_codec
+from vanerelay.received_numbers import number_in_range
 
+MAX_VALUES = 32
+"""Maximum number of values of a load report that are read; the settings name four at most."""
 SETTINGS_NAMES = {
     "inflight": "busy_reqs",
     "queue": "pending",
@@ -35,12 +38,11 @@
 def parse_load(text: str) -> dict[str, float]:
     """Parses reported values of the form `name:value;name:value`; invalid numbers are left out."""
     values = {}
-    for pair in text.split(";"):
+    for pair in text.split(";", MAX_VALUES)[:MAX_VALUES]:
         name, _, value = pair.partition(":")
-        try:
-            values[SETTINGS_NAMES.get(name, name)] = float(value)
-        except ValueError:
-            continue
+        number = number_in_range(value)
+        if number is not None:
+            values[SETTINGS_NAMES.get(name, name)] = number
     return values
 
 
--- a/vanerelay/net/request_codec.py
+++ b/vanerelay/net/request_codec.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from vanerelay.net import frames
+from vanerelay.received_numbers import NUMBER_LIMIT
 
 REFERENCE_PATTERN = re.compile("[0-9a-fA-F]{16}")
 NUMBER_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?")
@@ -18,8 +19,6 @@
 """An idempotency key or order key. Keys are sent in a list of fields, so commas and equals signs are not
 allowed.
 """
-NUMBER_LIMIT = 1e8
-"""Upper bound of durations in milliseconds and of memory in MB; larger numbers are invalid."""
 TICKS_PER_MS = 10
 MAX_CHARACTER_BYTES = 4
 """The length of the longest character in UTF-8."""
--- a/vanerelay/net/resp_codec.py
+++ b/vanerelay/net/resp_codec.py
@@ -9,6 +9,7 @@
 from vanerelay.attempt_outcome import AttemptEnd, AttemptStage, EndCause
 from vanerelay.interface import ProgressKind
 from vanerelay.net.buffers import BufferPool, ReceiveBuffer, parse_number
+from vanerelay.received_numbers import NUMBER_LIMIT, number_in_range
 
 MAX_RESULT_BYTES, MAX_PAGE_BYTES = 48_000, 6_000
 _MAX_LINE_BYTES = 32
@@ -37,6 +38,8 @@
 """The kinds of progress by their names on the wire. Engines of some deployments do not report them."""
 END_CAUSES = {b"BUSY": EndCause.BUSY, b"ERR": EndCause.ERROR, b"VOID": EndCause.VOID}
 """The causes that end an attempt without rows, by their names on the wire."""
+MAX_PROGRESS = 1.0
+"""The progress of a complete attempt."""
 BAD_PAGE = "invalid result page"
 
 
@@ -189,10 +192,11 @@
 
 
 def _parse_note(values: dict[str, str]) -> ProgressNote | None:
-    try:
-        return ProgressNote(PROGRESS_KINDS[values["n"]], float(values["datum"]))
-    except (KeyError, ValueError):
-        return None
+    """Returns the progress that a note reports; None if its kind is unknown or its value out of range."""
+    kind = PROGRESS_KINDS.get(values.get("n", ""))
+    highest = MAX_PROGRESS if kind is ProgressKind.PROGRESS else NUMBER_LIMIT
+    value = number_in_range(values.get("datum"), highest)
+    return None if kind is None or value is None else ProgressNote(kind, value)
 
 
 @dataclass(slots=True)
--- a/vanerelay/policy/capacity_slice.py
+++ b/vanerelay/policy/capacity_slice.py
@@ -36,6 +36,10 @@
 """The length in bytes of a gossip message, which is the demand as a big-endian integer."""
 
 
+MAX_DEMAND = 2.0**32 - 1.0
+"""The largest demand, in queries per `DEMAND_SPAN`, that a gossip message can state."""
+
+
 class Demand(NamedTuple):
     """The demand that a gateway last reported, in queries per `DEMAND_SPAN`, and the time of the report."""
 
@@ -93,7 +97,7 @@
             is_stalled: Whether this gateway did not run for a while.
         """
         observed = min(1.0, (now - self._started_at + SECOND) / DEMAND_SPAN)
-        own = 1.0 + recent_queries / observed
+        own = min(MAX_DEMAND, 1.0 + recent_queries / observed)
         self._demands[self._position.index] = Demand(now, own)
         present = [
             demand.queries
@@ -105,6 +109,6 @@
         return int(own).to_bytes(DEMAND_BYTES, "big")
 
     def peer_reported(self, now: int, gateway: int, message: bytes) -> None:
-        """Records the demand that a peer reported in a gossip message."""
-        queries = float(int.from_bytes(message[:DEMAND_BYTES], "big"))
-        self._demands[gateway] = Demand(now, queries)
+        """Records the demand that a peer reported in a gossip message; an invalid message is ignored."""
+        if len(message) == DEMAND_BYTES:
+            self._demands[gateway] = Demand(now, float(int.from_bytes(message, "big")))
--- a/vanerelay/policy/engine.py
+++ b/vanerelay/policy/engine.py
@@ -22,6 +22,10 @@
 """The time, in ticks, in which a load report's weight falls to about a third, and for which a rejection by
 the engine counts. The value allows for load reports that arrive seconds late."""
 
+MAX_REPORTED_SHARE = 10.0
+"""The largest load, as a multiple of the engine's capacity, that counts of a report. More is noise, which
+must not outweigh the reports of the other engines in their average."""
+
 POLLED_REPORT_WEIGHT = 0.5
 """The weight of a load report that was polled for. All gateways that poll an idle engine see the same value,
 and at full weight they would all send their queries to it."""
@@ -75,7 +79,8 @@
         query_share = self.reservations.thread_share(threads_per_query)
         shares = report.as_shares(query_share) if report else []
         if shares:
-            self.reported_share = max(0.0, max(shares) - self.reservations.used_share())
+            reported = min(MAX_REPORTED_SHARE, max(shares))
+            self.reported_share = max(0.0, reported - self.reservations.used_share())
             self._reported_at = now
 
     def proxy_reported(self, now: int, running: float, ended: float, errors: float) -> None:
@@ -87,7 +92,7 @@
             ended: The requests that have ended since the last report.
             errors: Those of the ended requests that failed.
         """
-        self._proxy_share = self.reservations.thread_share(running)
+        self._proxy_share = min(MAX_REPORTED_SHARE, self.reservations.thread_share(running))
         self._proxy_reported_at = now
         self.health.proxy_reported(now, ended, errors)
 
--- a/vanerelay/policy/gateway.py
+++ b/vanerelay/policy/gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import traceback
 from collections.abc import Sequence
 
 from vanerelay.interface import (
@@ -194,6 +195,31 @@
         self._transport.send_attempt(arrival.index, engine.entry.index, timeout)
         return True
 
+    def _serve_queue(self) -> None:
+        """Admits queries from the heads of the admission queues, as long as engines can admit them."""
+        self._queue.serve(self._admit_or_fail)
+
+    def _admit_or_fail(self, query: Query) -> bool:
+        """Admits the query as `admit` does. If that raises, fails the query, which then blocks no other."""
+        attempts = len(query.attempts)
+        try:
+            return self.admit(query)
+        except Exception:
+            self._transport.log(f"error in the admission of a query, which fails:\n{traceback.format_exc()}")
+        for attempt in query.attempts[attempts:]:  # it was not sent
+            self._forget_unsent(query, attempt)
+        query.is_ended = True
+        self._transport.fail(query.arrival.index)
+        self._finish(query)
+        return True
+
+    def _forget_unsent(self, query: Query, attempt: Attempt) -> None:
+        """Takes back what `admit` recorded of an attempt that it did not send."""
+        attempt.in_flight = False
+        self._supervisor.release(query, attempt)
+        self._attempts.remove(attempt)
+        attempt.engine.health.attempt_withdrawn(id(attempt))
+
     def hold(self, query: Query, has_turn: bool = True) -> None:
         """Holds a query until it is admitted or given up.
 
@@ -210,7 +236,7 @@
         query.give_up_at = int(min(deadline, useful_until, query.repeatable_until()))
         self._give_ups.add(query)
         if has_turn and self._queue.enqueue(query) and not self._engines.awaited_reports:
-            self._queue.serve(self.admit)
+            self._serve_queue()
         if query.is_held and query.give_up_at <= now:  # the next periodic work may come after the deadline
             self._give_up(query)
 
@@ -298,7 +324,7 @@
                 self.hold(query)
             else:
                 self._give_up(query)
-        self._queue.serve(self.admit)
+        self._serve_queue()
 
     def attempt_progressed(self, query: Query, number: int, kind: ProgressKind, value: float) -> None:
         """Handles a progress report of an engine about a running attempt."""
@@ -324,7 +350,7 @@
             complete: Whether `entries` is the whole list, so that engines without an entry have left it.
         """
         self._engines.update(entries, complete, accepts_new=not self._is_replaced)
-        self._queue.serve(self.admit)
+        self._serve_queue()
 
     def engine_list_failed(self) -> None:
         """Handles a failed request for the engine list: requests it again after LIST_RETRY_INTERVAL."""
@@ -335,7 +361,7 @@
         engine = self._engines.probe_completed(index, outcome)
         if engine is not None:
             self._report_dispatcher.engine_responded(engine, report)
-        self._queue.serve(self.admit)
+        self._serve_queue()
 
     def receive_from_peer(self, gateway: int, message: bytes) -> None:
         """Handles a datagram from another gateway."""
@@ -368,10 +394,17 @@
         if self._periodic_work.is_review_due:
             self._review(now)
         for query in self._give_ups.take_due(now):
-            self._give_up(query)
+            self._give_up_due(query)
         if not self.is_finished():
             self._transport.call_later(PERIODIC_WORK_INTERVAL, self._run_periodic_work)
 
+    def _give_up_due(self, query: Query) -> None:
+        """Gives up a query. If that raises, it is logged, and the other queries that are due follow."""
+        try:
+            self._give_up(query)
+        except Exception:
+            self._transport.log(f"error in giving up a query:\n{traceback.format_exc()}")
+
     def _review(self, now: int) -> None:
         """Reviews the engines, the attempts in flight, the admission queue and this gateway's slice."""
         is_stalled, is_slow_review = self._periodic_work.is_stalled, self._periodic_work.is_slow_review_due
@@ -380,7 +413,7 @@
         self._monitor.review(now, is_stalled)
         if not is_stalled:
             self._supervisor.cancel_silent(now)
-        self._queue.serve(self.admit)
+        self._serve_queue()
         self._capacity.update_borrowable(now, self._engines.pool.cores)
         if self._capacity.is_gossip_due(now):
             recent_queries = self._retry_budget.recent_queries(now)
@@ -411,7 +444,7 @@
                 self._memory.inherit_class(index, old._memory, old_index)
                 self._runtime.inherit_class(index, old._runtime, old_index)
         self._engines.inherit(old._engines)
-        self._queue.serve(self.admit)
+        self._serve_queue()
 
     def is_finished(self) -> bool:
         """Returns True if another `Gateway` has taken over and no query or attempt of this one is left."""
--- a/vanerelay/policy/outlier_detection.py
+++ b/vanerelay/policy/outlier_detection.py
@@ -113,6 +113,10 @@
         self._pending[key] = PendingAttempt(now, overdue_after, weight)
         self.last_attempt_at = now
 
+    def attempt_withdrawn(self, key: int) -> None:
+        """Forgets an attempt that was recorded, and then not sent."""
+        self._pending.pop(key, None)
+
     def record_activity(self, now: int) -> None:
         """Records that something was received from the engine, so that it is neither silent nor lost."""
         self._last_activity_at = now
--- a/vanerelay/policy/placement.py
+++ b/vanerelay/policy/placement.py
@@ -70,6 +70,9 @@
             typical_load: The part of an engine that other gateways and proxies typically fill.
         """
         weights = [self._weight(now, engine, query, typical_load) for engine in engines]
+        total = sum(weights)
+        if not (0.0 < total < math.inf):  # nothing tells the engines apart
+            return self._rng.choice(engines)
         return self._rng.choices(engines, weights)[0]
 
     def _weight(self, now: int, engine: Engine, query: Query, typical_load: float) -> float:
--- a/vanerelay/rollout/messages.py
+++ b/vanerelay/rollout/messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
@@ -83,6 +84,10 @@
     reason: str = msgspec.field(default="", name="why")
 
 
+Measurement = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+"""A number that a gateway has measured; a message with one out of range cannot be decoded."""
+
+
 class StateRequest(msgspec.Struct, frozen=True, omit_defaults=True):
     """A request for the state of a gateway, with or without its metrics."""
 
@@ -93,7 +98,7 @@
     """Totals of one service class since the process started. The fields are those of `ClassCounts`."""
 
     ended: int = 0
-    earned: float = 0.0
+    earned: Measurement = 0.0
     failed: int = 0
     rejected: int = 0
     late: int = 0
@@ -114,10 +119,10 @@
     """
 
     classes: dict[str, ClassMetrics] = msgspec.field(default_factory=dict, name="groups")
-    memory: float = 0.0
-    cpu_s: float = 0.0
+    memory: Measurement = 0.0
+    cpu_s: Measurement = 0.0
     unreachable_engines: int = msgspec.field(default=0, name="away")
-    engine_share: float = msgspec.field(default=0.0, name="held")
+    engine_share: Measurement = msgspec.field(default=0.0, name="held")
 
 
 class GatewayState(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -146,7 +151,7 @@
     last_order: int = msgspec.field(default=0, name="heeded")
     sent_at_ms: int = msgspec.field(default=0, name="at_ms")
     release: str = ""
-    cores: float = 1.0
+    cores: Measurement = 1.0
     metrics: GatewayMetrics = msgspec.field(default=GatewayMetrics(), name="figures")
 
 
--- a/vanerelay/settings.py
+++ b/vanerelay/settings.py
@@ -26,6 +26,7 @@
 )
 from vanerelay.invariants import GuardTerms
 from vanerelay.policy.gateway import Gateway
+from vanerelay.received_numbers import number_in_range
 
 RawSettings = dict[str, Any]
 """The settings as read from JSON, before any conversion."""
@@ -204,7 +205,7 @@
 
 
 def load_report(names: dict[str, str], values: dict[str, Any] | None) -> LoadReport | None:
-    """Converts reported values to a load report, ignoring unknown names and null values.
+    """Converts reported values to a load report, ignoring unknown names and invalid values.
 
     Args:
         names: The fields of `LoadReport` by wire name, as returned by `report_names`.
@@ -215,10 +216,8 @@
     """
     if not values:
         return None
-    fields = {
-        names[name]: float(value) for name, value in values.items() if name in names and value is not None
-    }
-    return LoadReport(**fields)
+    numbers = {names[name]: number_in_range(value) for name, value in values.items() if name in names}
+    return LoadReport(**{field: number for field, number in numbers.items() if number is not None})
 
 
 def open_gateway(
--- a/vanerelay/xds/load_reports.py
+++ b/vanerelay/xds/load_reports.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from vanerelay.interface import SECOND
+from vanerelay.received_numbers import NUMBER_LIMIT
 
 REPORT_LIFETIME = 15 * SECOND
 """How long a report stands for what a proxy has in flight: several reporting intervals."""
@@ -37,6 +38,10 @@
     errors: int
     issued: int
 
+    def is_in_range(self) -> bool:
+        """Returns True if no count is larger than any proxy can have seen."""
+        return max(self.running, self.completed, self.errors, self.issued) <= NUMBER_LIMIT
+
 
 @dataclass(frozen=True, slots=True)
 class Completions:
--- a/vanerelay/xds/load_stream.py
+++ b/vanerelay/xds/load_stream.py
@@ -59,7 +59,7 @@
             return
         if not self._identified and not self._identify(request.node):
             return
-        reports = list(_load_reports(request))
+        reports = [report for report in _load_reports(request) if report.is_in_range()]
         if reports:
             self._owner.load_reported(self, reports)
 
