--- a/tests/test_received_numbers.py
+++ b/tests/test_received_numbers.py
@@ -276,3 +276,30 @@
     harness = GatewayHarness(engines=3)
     monkeypatch.setattr(harness.gateway._placement, "_weight", lambda *_: weight)
     assert all(harness.submit(memory=10.0).attempts for _ in range(5))
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        AttemptResult(Outcome.COMPLETED, 1500, 10**9, 400.0),
+        AttemptResult(Outcome.COMPLETED, 1500, 1000, NUMBER_LIMIT),
+    ],
+)
+def test_answer_with_an_implausible_figure_changes_no_estimate(result):
+    """Guards against one figure of noise, in the range of the protocol, that grants and durations follow."""
+    harness = GatewayHarness(engines=1)
+    for _ in range(5):
+        harness.end_attempt(harness.submit(memory=400.0), Outcome.COMPLETED)
+    grant, work = harness.gateway.typical_grant(0), harness.gateway.typical_work(0)
+    harness.submit(memory=400.0).attempt_ended(0, result, True)
+    assert harness.gateway.typical_grant(0) <= grant or result.peak_memory < NUMBER_LIMIT
+    assert harness.gateway.typical_work(0) <= work or result.work < 10**9
+
+
+def test_note_of_an_implausible_need_of_memory_changes_no_estimate():
+    harness = GatewayHarness(engines=1)
+    for _ in range(5):
+        harness.end_attempt(harness.submit(memory=400.0), Outcome.COMPLETED)
+    grant = harness.gateway.typical_grant(0)
+    harness.submit(memory=400.0).attempt_progressed(0, ProgressKind.SPILL, NUMBER_LIMIT)
+    assert harness.gateway.typical_grant(0) == grant
--- a/vanerelay/grpc_wire/client_session.py
+++ b/vanerelay/grpc_wire/client_session.py
@@ -15,8 +15,10 @@
 from vanerelay.grpc_wire.limits import Limits
 from vanerelay.grpc_wire.session import ENCODINGS, Session, decode_headers
 from vanerelay.grpc_wire.status import Code, Status
+from vanerelay.net.buffers import parse_number
 
 MICROSECONDS_PER_TICK = 100
+MAX_HTTP_STATUS = 999
 
 MAX_TIMEOUT = 10**8 - 1
 """The largest number that `grpc-timeout` may hold."""
@@ -102,7 +104,8 @@
             call.decoder = MessageDecoder(self.limits.max_message_bytes, gzip)
 
     def _http_error_received(self, call: Call, http_status: str | None) -> None:
-        code = status.HTTP_CODES.get(int(http_status or "0"), Code.UNKNOWN)
+        number = parse_number(http_status or "", MAX_HTTP_STATUS)
+        code = Code.UNKNOWN if number is None else status.HTTP_CODES.get(number, Code.UNKNOWN)
         self.drop_call(call, ErrorCodes.CANCEL)
         if call.listener is not None:
             call.listener.ended(Status(code, f"HTTP status {http_status}"))
--- a/vanerelay/policy/attempt_supervisor.py
+++ b/vanerelay/policy/attempt_supervisor.py
@@ -48,7 +48,7 @@
         if attempt.is_waiting and value == WAITING_FOR_MEMORY:
             self._move_from_full_engine(now, query, number)
         if kind is ProgressKind.SPILL:
-            self._report_dispatcher.peak_observed(now, query, attempt.grant + value)
+            self._report_dispatcher.peak_observed(now, query, attempt.engine, attempt.grant + value)
         is_running = kind is ProgressKind.PROGRESS and value > 0.0 and attempt.in_flight
         if is_running and self._capabilities.progress_interval:
             self._cancel_if_slow(now, query, number, value)
--- a/vanerelay/policy/report_dispatcher.py
+++ b/vanerelay/policy/report_dispatcher.py
@@ -15,6 +15,14 @@
 """Weight of a progress report as an observation of an engine's slowdown; that of an answer is 1."""
 
 
+MAX_PEAK_FACTOR = 2.0
+"""The largest peak, as a multiple of the engine's memory, that is learned. A query that spilled may need more
+than the engine has; far more is noise."""
+
+MAX_WORK_FACTOR = 8.0
+"""The largest work, as a multiple of what the query's threads can do in its duration, that is learned."""
+
+
 class ReportDispatcher:
     """Passes what engines report to the memory and runtime estimators, engine health and engine monitor."""
 
@@ -33,19 +41,19 @@
     def query_completed(self, now: int, query: Query, engine: Engine, result: AttemptResult) -> None:
         """Handles the answer to a completed query."""
         arrival, work, duration = query.arrival, result.work, result.duration
-        if work:
+        if 0 < work <= MAX_WORK_FACTOR * duration * query.service_class.threads:
             self._runtime.learn(now, arrival.service_class, arrival.estimated_cost, work, duration)
             if query.has_full_threads():
                 slowdown = engine.slow_start.ramp_share(now) * duration * query.threads / work
                 engine.health.run_observed(slowdown, 1.0)
-        self.peak_observed(now, query, result.peak_memory)
+        self.peak_observed(now, query, engine, result.peak_memory)
         if query.service_class.is_data_load and duration:
             self._memory.forget_table_group(arrival.table_group)
 
-    def peak_observed(self, now: int, query: Query, peak: float) -> None:
+    def peak_observed(self, now: int, query: Query, engine: Engine, peak: float) -> None:
         """Handles the peak memory of a query in MB; 0 if it is not known."""
         arrival = query.arrival
-        if peak:
+        if 0.0 < peak <= MAX_PEAK_FACTOR * engine.reservations.memory:
             self._memory.learn(
                 now, arrival.service_class, arrival.table_group, arrival.estimated_memory, peak
             )
