Discovery log: states change at the address in force only; a failed admission resumes its order key later

Answers of the former address were logged as success while the new one failed, at each turn. A query whose admission raises no longer resumes the next query of its order key while the queue is being served, which may compact the queue under that loop. Both have a test.

--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -13,6 +13,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from vanerelay.net import discovery_client
 from vanerelay.net.buffers import BufferPool
 from vanerelay.net.discovery_client import MAX_OVERDUE_POLLS, DiscoveryClient
 from vanerelay.net.discovery_connection import MAX_OVERDUE_SILENCE_S
@@ -225,3 +226,15 @@
     service.add_event()
     service.run(1.1)
     assert client.applied_at
+
+
+def test_log_tells_each_change_of_how_the_service_answers_once(service, monkeypatch):
+    lines = []
+    for level in ("info", "warning"):
+        monkeypatch.setattr(discovery_client.log, level, lambda line, **_: lines.append(line))
+    Client(service)
+    for delay_s in (0.0, 5.0, 1e6, 0.0):
+        service.delay_s = lambda delay_s=delay_s: delay_s
+        service.run(80)
+    failed, succeed = "discovery poll failed", "discovery polls succeed again"
+    assert lines == [failed, "discovery polls succeed, but their answers are overdue", failed, succeed]
--- a/tests/test_received_numbers.py
+++ b/tests/test_received_numbers.py
@@ -303,3 +303,21 @@
     grant = harness.gateway.typical_grant(0)
     harness.submit(memory=400.0).attempt_progressed(0, ProgressKind.SPILL, NUMBER_LIMIT)
     assert harness.gateway.typical_grant(0) == grant
+
+
+def test_next_query_of_the_order_key_runs_after_one_whose_admission_raises(monkeypatch):
+    harness = GatewayHarness(engines=1, ordered=True)
+    choose = harness.gateway._placement.choose
+
+    def fail_for_first(now, engines, query, typical_load):
+        if query.sequence == first.sequence:
+            raise ValueError("a fault")
+        return choose(now, engines, query, typical_load)
+
+    harness.gateway.update_engines([], True)
+    first, second = (harness.submit(memory=10.0, order_key=7) for _ in range(2))
+    monkeypatch.setattr(harness.gateway._placement, "choose", fail_for_first)
+    harness.gateway.update_engines(harness.entries, True)
+    assert first.is_ended and not second.attempts
+    harness.advance(1)
+    assert second.attempts
--- a/vanerelay/net/discovery_client.py
+++ b/vanerelay/net/discovery_client.py
@@ -239,12 +239,10 @@
     def _poll_answered(self, poll: Poll) -> None:
         """Sends the next poll, unless a newer one than the answered one is under way in time."""
         self._failures = 0
-        took_s = self._reactor.seconds() - poll.sent_at
-        is_late = poll.is_overdue and took_s > POLL_WAIT_MS / 1000 + MAX_SILENCE_S
-        self._enter_state(DiscoveryState.SLOW if is_late else DiscoveryState.WORKING)
         at_new_address = poll.address == self._address
         if at_new_address:
             self._previous_address = None
+            self._enter_answered_state(poll)
             for other in [other for other in self._polls if other.address != self._address]:
                 self._drop(other)
         if self._current is not None or not at_new_address:
@@ -255,6 +253,11 @@
         pause_s = self._randomness.uniform(0.5, 1.0) * MIN_POLL_INTERVAL_S if poll.found_nothing else 0.0
         self._schedule_poll(pause_s, self._address, poll.connection if at_new_address else None)
 
+    def _enter_answered_state(self, poll: Poll) -> None:
+        took_s = self._reactor.seconds() - poll.sent_at
+        is_late = poll.is_overdue and took_s > POLL_WAIT_MS / 1000 + MAX_SILENCE_S
+        self._enter_state(DiscoveryState.SLOW if is_late else DiscoveryState.WORKING)
+
     def _poll_overdue(self, poll: Poll) -> None:
         """Keeps the poll, or drops it if enough older ones are awaited, and schedules the next one."""
         poll.is_overdue = True
--- a/vanerelay/policy/gateway.py
+++ b/vanerelay/policy/gateway.py
@@ -208,9 +208,11 @@
             self._transport.log(f"error in the admission of a query, which fails:\n{traceback.format_exc()}")
         for attempt in query.attempts[attempts:]:  # it was not sent
             self._forget_unsent(query, attempt)
-        query.is_ended = True
+        query.is_ended, query.is_held = True, False
         self._transport.fail(query.arrival.index)
-        self._finish(query)
+        order_key = query.order_key
+        if order_key is not None:  # later, as the queue is being served
+            self._transport.call_later(0, lambda: self._resume_next(order_key))
         return True
 
     def _forget_unsent(self, query: Query, attempt: Attempt) -> None:
